--- /dev/null
+++ b/wagtailfork/claims/keys.py
@@ -0,0 +1,44 @@
+"""Idempotency keys: a prefix that the directory issues and a suffix."""
+
+import re
+from typing import Final
+
+import attrs
+
+from ..core.errors import WagtailforkError
+from ..core.results import ResultCode
+
+_KEY: Final = re.compile(
+    r'^wf1\.([0-9a-f]{12}-[0-9]{1,9})\.([0-9]{1,9})\.([A-Za-z0-9_-]{1,64})$',
+)
+
+
+@attrs.frozen
+class IdempotencyKey:
+    """Name the key range, the time slot of issue, and the caller's part."""
+
+    range_id: str
+    slot: int
+    suffix: str
+
+
+def format_prefix(range_id: str, slot: int) -> str:
+    """Make the prefix to which a caller appends its own suffix.
+
+    >>> format_prefix('00000000000a-1', 7)
+    'wf1.00000000000a-1.7.'
+    """
+    return f'wf1.{range_id}.{slot}.'
+
+
+def parse_key(text: str) -> IdempotencyKey:
+    """Parse a key or raise ``key_malformed``.
+
+    >>> parse_key('wf1.00000000000a-1.7.order-9').suffix
+    'order-9'
+    """
+    found = _KEY.match(text)
+    if found is None:
+        raise WagtailforkError(ResultCode.key_malformed, text[:99])
+    range_id, slot, suffix = found.groups()
+    return IdempotencyKey(range_id, int(slot), suffix)
--- /dev/null
+++ b/wagtailfork/claims/register.py
@@ -0,0 +1,321 @@
+"""The point of order of each key: claim before dispatch, settle after."""
+
+import asyncio
+import logging
+import time
+from typing import Final
+
+import attrs
+
+from ..control.follower import Follower
+from ..control.fold import ControlState
+from ..control.views import View
+from ..core.errors import WagtailforkError
+from ..core.logs import log_fault
+from ..core.results import ResultCode
+from ..peers.mesh import Mesh
+from ..peers.messages import (
+    Ack,
+    ClaimReply,
+    ClaimRequest,
+    Message,
+    Replicate,
+    Settle,
+)
+from .keys import IdempotencyKey
+from .table import Answer, ClaimState, ClaimTable, Decision
+
+KEPT_SLOTS: Final = 15
+_POLL_S: Final = 0.02
+_SETTLE_TRIES: Final = 5
+
+_logger = logging.getLogger(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class ClaimOrder:
+    """Ask for the right to dispatch one request under one key."""
+
+    key: IdempotencyKey
+    customer: str
+    digest: str
+    claim_id: str
+
+    def scoped_key(self) -> str:
+        """Name the key within its customer."""
+        return f'{self.customer}/{self.key.suffix}'
+
+
+@attrs.define
+class HeldRange:
+    """Hold a range's claims with the clock of its slots."""
+
+    table: ClaimTable
+    first_slot: int
+    started_at: float
+
+    def slot(self, slot_s: float) -> int:
+        """Give the present slot."""
+        passed = time.monotonic() - self.started_at
+        return self.first_slot + int(passed / slot_s)
+
+
+@attrs.define
+class Register:
+    """Decide claims as a range's primary and keep them as its member."""
+
+    incarnation: str
+    _follower: Follower
+    _mesh: Mesh
+    _slot_s: float
+    _timeout_s: float
+    _ranges: dict[str, HeldRange] = attrs.field(factory=dict)
+    _dropped: set[str] = attrs.field(factory=set)
+    _settling: set[asyncio.Task[None]] = attrs.field(factory=set)
+
+    def on_state(self, state: ControlState) -> None:
+        """Hold a table for just the ranges whose view names this VM.
+
+        An empty table is right at first sight: no claim was ever granted
+        without this member's acknowledgement.
+        """
+        for range_id, view in state.views.items():
+            if self.incarnation not in view.members:
+                continue
+            if range_id not in self._ranges and range_id not in self._dropped:
+                table = ClaimTable()
+                held = HeldRange(table, 0, time.monotonic())
+                self._ranges[range_id] = held
+        for range_id in tuple(self._ranges):
+            view_now = state.views.get(range_id)
+            if view_now is None or self.incarnation not in view_now.members:
+                self._ranges.pop(range_id)
+                # A birth record appended again late must not open it anew.
+                self._dropped.add(range_id)
+
+    def current_slot(self, range_id: str) -> int:
+        """Give the slot for a prefix issued now."""
+        held = self._ranges[range_id]
+        return held.slot(self._slot_s)
+
+    def holds(self, range_id: str) -> bool:
+        """Tell whether this VM is a member of the range."""
+        return range_id in self._ranges
+
+    def sizes(self) -> dict[str, int]:
+        """Count the keys held for each range."""
+        return {name: len(held.table) for name, held in self._ranges.items()}
+
+    async def claim(self, order: ClaimOrder, deadline: float) -> ClaimReply:
+        """Ask the key's primary, again if the answer is lost, and reply.
+
+        ``deadline`` is a monotonic time in seconds. Raise an unknown-class
+        error when no decision was heard.
+        """
+        until = min(deadline, time.monotonic() + 2 * self._timeout_s)
+        while True:
+            try:
+                return await self._claim_once(order)
+            except WagtailforkError as exc:
+                if time.monotonic() + _POLL_S >= until:
+                    raise _as_unknown(exc) from exc
+            await asyncio.sleep(_POLL_S)
+
+    async def _claim_once(self, order: ClaimOrder) -> ClaimReply:
+        view = self._view(order.key.range_id)
+        req = ClaimRequest(
+            primary=view.primary(),
+            range_id=order.key.range_id,
+            slot=order.key.slot,
+            key=order.scoped_key(),
+            digest=order.digest,
+            claim_id=order.claim_id,
+        )
+        if req.primary == self.incarnation:
+            return await self.serve_claim(req)
+        reply = await self._call(req.primary, req)
+        if isinstance(reply, ClaimReply):
+            return reply
+        raise WagtailforkError(ResultCode.range_unreachable, repr(reply))
+
+    async def serve_claim(self, req: ClaimRequest) -> ClaimReply:
+        """Decide a claim as the range's primary."""
+        view = self._view(req.range_id)
+        held = self._ranges.get(req.range_id)
+        if req.primary != self.incarnation or held is None:
+            raise WagtailforkError(ResultCode.wrong_incarnation, req.primary)
+        if view.primary() != self.incarnation:
+            raise WagtailforkError(ResultCode.stale_view, req.range_id)
+        slot_now = held.slot(self._slot_s)
+        held.table.raise_floor(slot_now - KEPT_SLOTS)
+        if req.slot > slot_now:
+            return ClaimReply(decision=Decision.expired)
+        decision = held.table.claim(
+            req.slot,
+            req.key,
+            req.digest,
+            req.claim_id,
+        )
+        if decision == Decision.pending:
+            decision = await self._grant(view, held.table, req)
+        return _make_reply(held.table, req, decision)
+
+    async def serve_replicate(self, req: Replicate) -> Ack:
+        """Store a claim as a member, if it was made in the present view."""
+        held = self._ranges.get(req.range_id)
+        if req.member != self.incarnation or held is None:
+            raise WagtailforkError(ResultCode.wrong_incarnation, req.member)
+        if self._view(req.range_id).number != req.view:
+            raise WagtailforkError(ResultCode.stale_view, req.range_id)
+        held.table.raise_floor(req.floor)
+        # Slots go on from the primary's clock if this member takes over.
+        held.first_slot = req.floor + KEPT_SLOTS
+        held.started_at = time.monotonic()
+        if not held.table.store(req.slot, req.key, req.digest):
+            raise WagtailforkError(ResultCode.key_conflict, req.key)
+        return Ack()
+
+    async def serve_settle(self, req: Settle) -> Ack:
+        """Record how a claimed request ended."""
+        held = self._ranges.get(req.range_id)
+        if req.member != self.incarnation or held is None:
+            raise WagtailforkError(ResultCode.wrong_incarnation, req.member)
+        if req.state == ClaimState.pending:
+            held.table.release(req.slot, req.key, req.claim_id)
+            return Ack()
+        answer = Answer(
+            status=req.status,
+            content_type=req.content_type,
+            body=req.body,
+        )
+        state = ClaimState(req.state)
+        held.table.settle(req.slot, req.key, state, answer)
+        return Ack()
+
+    def settle(
+        self,
+        order: ClaimOrder,
+        state: ClaimState,
+        answer: Answer,
+    ) -> None:
+        """Tell all members, without waiting, how the request ended."""
+        view = self._follower.state.views.get(order.key.range_id)
+        if view is None:
+            return
+        members = view.members
+        if state == ClaimState.pending:
+            # Only the granting primary may let the key be claimed again.
+            members = members[:1]
+        for member in members:
+            req = Settle(
+                member=member,
+                range_id=order.key.range_id,
+                slot=order.key.slot,
+                key=order.scoped_key(),
+                claim_id=order.claim_id,
+                state=state.value,
+                status=answer.status,
+                content_type=answer.content_type,
+                body=answer.body,
+            )
+            task = asyncio.create_task(self._settle_at(member, req))
+            self._settling.add(task)
+            task.add_done_callback(self._settling.discard)
+
+    async def settled(self) -> None:
+        """Wait until every settlement was delivered or given up."""
+        while self._settling:
+            await asyncio.sleep(_POLL_S)
+
+    async def _settle_at(self, member: str, req: Settle) -> None:
+        for _try in range(_SETTLE_TRIES):
+            try:
+                if member == self.incarnation:
+                    await self.serve_settle(req)
+                else:
+                    await self._call(member, req)
+            except WagtailforkError:
+                await asyncio.sleep(self._timeout_s)
+                continue
+            return
+        log_fault(_logger, 'settle_lost', member=member, range=req.range_id)
+
+    async def _grant(
+        self,
+        view: View,
+        table: ClaimTable,
+        req: ClaimRequest,
+    ) -> Decision:
+        others = [name for name in view.members if name != self.incarnation]
+        try:
+            for member in others:
+                await self._replicate(member, view, table, req)
+        except BaseException:
+            table.withdraw(req.slot, req.key, req.claim_id)
+            raise
+        if table.confirm(req.slot, req.key, req.claim_id):
+            return Decision.granted
+        return Decision.in_progress
+
+    async def _replicate(
+        self,
+        member: str,
+        view: View,
+        table: ClaimTable,
+        req: ClaimRequest,
+    ) -> None:
+        message = Replicate(
+            member=member,
+            range_id=req.range_id,
+            view=view.number,
+            floor=table.floor,
+            slot=req.slot,
+            key=req.key,
+            digest=req.digest,
+        )
+        reply = await self._call(member, message)
+        if reply != Ack():
+            raise WagtailforkError(ResultCode.range_unreachable, repr(reply))
+
+    async def _call(self, member: str, message: Message) -> Message:
+        link = self._mesh.by_incarnation(member)
+        if link is None:
+            raise WagtailforkError(ResultCode.range_unreachable, member)
+        reply = await link.call(message, self._timeout_s)
+        if isinstance(reply, Ack) and reply.code:
+            raise WagtailforkError(ResultCode(reply.code), member)
+        return reply
+
+    def _view(self, range_id: str) -> View:
+        view = self._follower.state.views.get(range_id)
+        if view is None:
+            raise WagtailforkError(ResultCode.key_expired, range_id)
+        return view
+
+
+_UNKNOWN_CODES: Final = frozenset((
+    ResultCode.key_expired,
+    ResultCode.range_unreachable,
+))
+
+
+def _as_unknown(exc: WagtailforkError) -> WagtailforkError:
+    if exc.code in _UNKNOWN_CODES:
+        return exc
+    return WagtailforkError(ResultCode.range_unreachable, str(exc))
+
+
+def _make_reply(
+    table: ClaimTable,
+    req: ClaimRequest,
+    decision: Decision,
+) -> ClaimReply:
+    found = table.find(req.slot, req.key)
+    if decision != Decision.ran or found is None:
+        return ClaimReply(decision=decision.value)
+    return ClaimReply(
+        decision=decision.value,
+        status=found.answer.status,
+        content_type=found.answer.content_type,
+        body=found.answer.body,
+    )
--- /dev/null
+++ b/wagtailfork/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/wagtailfork/cli/roles.py
@@ -0,0 +1,85 @@
+"""Commands that run one role as a process."""
+
+import asyncio
+from typing import Any
+
+import click
+
+from ..core.logs import configure_logs
+from ..core.server import HttpServer, bind
+from ..core.settings import EntrySettings, load_settings
+from ..node.entry import EntryNode
+from ..standin.backend import BackendBehaviour, BackendStandin
+from ..standin.log import LogStandin
+from ..standin.vms import VmsStandin
+from .runner import on_stop_signals, run_async
+
+_ADDRESS = click.option(
+    '--address',
+    required=True,
+    help='IP number and port to serve on.',
+)
+
+
+@click.command()
+@click.option(
+    '--settings',
+    'path',
+    required=True,
+    type=click.Path(),
+    help='JSON settings file.',
+)
+def entry(path: str) -> None:
+    """Run the process of one entry VM."""
+    cfg = load_settings(path, EntrySettings)
+    configure_logs(cfg.log_level)
+    run_async(_run_entry(cfg))
+
+
+async def _run_entry(cfg: EntrySettings) -> None:
+    node = EntryNode(cfg)
+    on_stop_signals(node.ask_stop)
+    await node.run()
+
+
+@click.group()
+def standin() -> None:
+    """Run a stand-in for something outside."""
+
+
+@standin.command('log')
+@_ADDRESS
+def standin_log(address: str) -> None:
+    """Stand in for the append-only log service."""
+    run_async(_serve(LogStandin().app(), address))
+
+
+@standin.command('vms')
+@_ADDRESS
+def standin_vms(address: str) -> None:
+    """Stand in for the list of live and leaving VMs."""
+    run_async(_serve(VmsStandin().app(), address))
+
+
+@standin.command('backend')
+@_ADDRESS
+@click.option('--name', required=True, help='Name in answers and records.')
+@click.option('--slots', default=4, show_default=True)
+@click.option('--service-ms', default=8.0, show_default=True)
+def standin_backend(
+    address: str,
+    name: str,
+    slots: int,
+    service_ms: float,
+) -> None:
+    """Stand in for one backend server."""
+    behaviour = BackendBehaviour(slots=slots, service_ms=service_ms)
+    app = BackendStandin(name=name, behaviour=behaviour)
+    run_async(_serve(app, address))
+
+
+async def _serve(app: Any, address: str) -> None:
+    server = HttpServer(app, bind(address))
+    serving = asyncio.create_task(server.run())
+    on_stop_signals(serving.cancel)
+    await asyncio.wait((serving,))
--- /dev/null
+++ b/wagtailfork/control/follower.py
@@ -0,0 +1,150 @@
+"""Follow the control stream and tell others when the state moves."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from ..core.errors import WagtailforkError
+from ..core.logs import log_event, log_fault
+from .fold import ControlState, Verdict
+from .log_client import CONTROL_STREAM, LogClient, Page
+from .snapshots import Folded, LogReader
+
+Listener = Callable[[ControlState], None]
+
+_RETRY_S: Final = 0.25
+_NEVER: Final = float('-inf')
+
+_logger = logging.getLogger(__name__)
+
+
+@attrs.define
+class Follower:
+    """Read the control stream and keep the folded state."""
+
+    _client: LogClient
+    _poll_s: float
+    reader: LogReader = attrs.field(factory=LogReader)
+    read_at: float = _NEVER  # monotonic time of the last whole read
+    records_since_snapshot: int = 0
+    _listeners: list[Listener] = attrs.field(factory=list)
+    _verdicts: dict[str, asyncio.Future[tuple[int, Verdict]]] = attrs.field(
+        factory=dict,
+    )
+    _moved: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    @property
+    def state(self) -> ControlState:
+        """Give the current state; empty before the first whole read."""
+        return self.reader.state or ControlState()
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether a whole prefix of the log is known."""
+        return self.reader.state is not None
+
+    def age_s(self) -> float:
+        """Give the seconds since the log was last read to its end."""
+        return time.monotonic() - self.read_at
+
+    def listen(self, listener: Listener) -> None:
+        """Call ``listener`` with each new state."""
+        self._listeners.append(listener)
+
+    def expect(self, ident: str) -> asyncio.Future[tuple[int, Verdict]]:
+        """Give a future of the offset and verdict of the record ``ident``."""
+        return self._verdicts.setdefault(
+            ident,
+            asyncio.get_running_loop().create_future(),
+        )
+
+    def forget(self, ident: str) -> None:
+        """Drop the interest in a record."""
+        self._verdicts.pop(ident, None)
+
+    async def wait_ready(self) -> None:
+        """Wait until a whole prefix of the log is known."""
+        while not self.ready:
+            await self._moved.wait()
+
+    def adopt(self, state: ControlState) -> bool:
+        """Take a peer's state where it is further on."""
+        before = self.state.offset
+        known = self.ready
+        folds = self.reader.adopt(state)
+        if known and self.state.offset == before:
+            return False
+        log_event(_logger, 'state_adopted', offset=self.state.offset)
+        self._publish(folds)
+        return True
+
+    async def run(self) -> None:
+        """Follow the stream until cancelled."""
+        failing = False
+        while True:
+            try:
+                page = await self._client.read(
+                    CONTROL_STREAM,
+                    self.reader.next_offset(),
+                    self._poll_s,
+                )
+            except WagtailforkError as exc:
+                if not failing:
+                    log_fault(_logger, 'log_unreadable', error=exc.detail)
+                failing = True
+                await asyncio.sleep(_RETRY_S)
+                continue
+            failing = False
+            self._take(page)
+
+    def _take(self, page: Page) -> None:
+        folds: dict[int, Folded] = {}
+        if self.reader.state is None and page.next == 0:
+            self.reader.state = ControlState()
+            self._publish(folds)
+        for entry in page.records:
+            folds.update(self.reader.push(entry))
+            self.records_since_snapshot += 1
+            if isinstance(entry.record, dict):
+                self._count_snapshot(entry.record.get('kind'))
+            self._resolve(entry.offset, entry.record, folds)
+        if self.reader.next_offset() >= page.next and not self.reader.in_gap:
+            self.read_at = time.monotonic()
+        if page.records:
+            self._publish(folds)
+
+    def _count_snapshot(self, kind: object) -> None:
+        if kind == 'snapshot':
+            self.records_since_snapshot = 0
+
+    def _resolve(
+        self,
+        offset: int,
+        record: object,
+        folds: dict[int, Folded],
+    ) -> None:
+        if offset not in folds or not isinstance(record, dict):
+            return
+        fut = self._verdicts.pop(str(record.get('id')), None)
+        if fut is not None and not fut.done():
+            fut.set_result((offset, folds[offset][1]))
+
+    def _publish(self, folds: object) -> None:
+        if not self.ready:
+            return
+        self._moved.set()
+        self._settle_from_recent()
+        for listener in self._listeners:
+            listener(self.state)
+
+    def _settle_from_recent(self) -> None:
+        # A snapshot can skip over the record that someone waits for.
+        recent = self.state.recent
+        for ident in [name for name in self._verdicts if name in recent]:
+            fut = self._verdicts.pop(ident)
+            if not fut.done():
+                fut.set_result((self.state.offset, recent[ident]))
--- /dev/null
+++ b/wagtailfork/control/objects.py
@@ -0,0 +1,140 @@
+"""The kinds of object that operators create with change tickets."""
+
+import re
+from typing import Any, Final
+
+import attrs
+
+from ..core.address import split_address
+from ..core.errors import WagtailforkError
+from ..core.results import ResultCode
+from ..core.structure import from_plain
+
+ANY_CUSTOMER: Final = '*'
+
+_NAME: Final = re.compile(r'^[a-z0-9][a-z0-9_.-]{0,62}$')
+_MAX_SLOTS: Final = 10000
+_POSITIVE = attrs.validators.gt(0)
+
+
+def _is_name(_owner: Any, _attribute: Any, text: str) -> None:
+    if not _NAME.match(text):
+        raise ValueError(f'bad name {text!r}')
+
+
+def _is_customer(owner: Any, attribute: Any, text: str) -> None:
+    if text != ANY_CUSTOMER:
+        _is_name(owner, attribute, text)
+
+
+def _is_address(_owner: Any, _attribute: Any, text: str) -> None:
+    try:
+        split_address(text)
+    except WagtailforkError as exc:
+        raise ValueError(f'bad address {text!r}') from exc
+
+
+@attrs.frozen(kw_only=True)
+class Service:
+    """Describe one service and how its methods may be repeated."""
+
+    once_methods: tuple[str, ...] = ('POST', 'PATCH')
+    first_byte_s: float = attrs.field(default=2.0, validator=_POSITIVE)
+    retry_percent: float = attrs.field(
+        default=10.0,
+        validator=attrs.validators.and_(
+            attrs.validators.ge(0),
+            attrs.validators.le(100),
+        ),
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Backend:
+    """Describe one backend server of a service."""
+
+    service: str = attrs.field(validator=_is_name)
+    address: str = attrs.field(validator=_is_address)
+    region: str = attrs.field(validator=_is_name)
+    failure_domain: str = attrs.field(validator=_is_name)
+    slots: int = attrs.field(
+        default=4,
+        validator=attrs.validators.and_(
+            attrs.validators.ge(1),
+            attrs.validators.le(_MAX_SLOTS),
+        ),
+    )
+    draining: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Customer:
+    """Describe one customer and its share under contention."""
+
+    weight: float = attrs.field(default=1.0, validator=_POSITIVE)
+
+
+@attrs.frozen(kw_only=True)
+class Limit:
+    """Bound the calls of one customer to one service, per entry VM."""
+
+    customer: str = attrs.field(validator=_is_name)
+    service: str = attrs.field(validator=_is_name)
+    calls_per_s: float = attrs.field(validator=_POSITIVE)
+    burst: float = attrs.field(default=1.0, validator=attrs.validators.ge(1))
+
+
+@attrs.frozen(kw_only=True)
+class Rule:
+    """Allow one customer, or all, to reach a service's backend servers."""
+
+    customer: str = attrs.field(validator=_is_customer)
+    service: str = attrs.field(validator=_is_name)
+    failure_domains: tuple[str, ...] = ()
+
+
+ControlObject = Service | Backend | Customer | Limit | Rule
+
+KINDS: Final[dict[str, type[Any]]] = {
+    'service': Service,
+    'backend': Backend,
+    'customer': Customer,
+    'limit': Limit,
+    'rule': Rule,
+}
+
+
+def check_identity(kind: str, name: str) -> None:
+    """Raise ``ticket_malformed`` on an unknown kind or a bad name.
+
+    >>> check_identity('customer', 'kartolina')
+    """
+    if kind not in KINDS:
+        raise WagtailforkError(ResultCode.ticket_malformed, f'kind {kind!r}')
+    if not _NAME.match(name):
+        raise WagtailforkError(ResultCode.ticket_malformed, f'name {name!r}')
+
+
+def parse_object(kind: str, state: Any) -> ControlObject:
+    """Build one object or raise ``ticket_malformed``.
+
+    >>> parse_object('customer', {'weight': 2}).weight
+    2.0
+    """
+    return from_plain(state, KINDS[kind], ResultCode.ticket_malformed)
+
+
+def references(item: ControlObject) -> tuple[tuple[str, str], ...]:
+    """List the objects, as kind and name, that must exist beside this one.
+
+    >>> references(Rule(customer='*', service='stockd'))
+    (('service', 'stockd'),)
+    """
+    found: list[tuple[str, str]] = []
+    service = getattr(item, 'service', None)
+    customer = getattr(item, 'customer', None)
+    if service is not None:
+        found.append(('service', service))
+    if customer is not None and customer != ANY_CUSTOMER:
+        found.append(('customer', customer))
+    return tuple(found)
--- /dev/null
+++ b/wagtailfork/control/views.py
@@ -0,0 +1,97 @@
+"""Views of a key range: who must acknowledge a claim on its keys.
+
+A range belongs to one incarnation of an entry VM, its home. A view names
+the members that hold the range's claims in memory. Views change only by
+records in the log, each naming the view that it replaces, so the first
+record by offset wins and no election is needed.
+"""
+
+from collections.abc import Mapping
+from typing import Final
+
+import attrs
+
+from ..core.errors import WagtailforkError
+from ..core.results import ResultCode
+
+VIEW_LIFETIME_MS: Final = 3 * 60 * 60 * 1000
+
+
+@attrs.frozen(kw_only=True)
+class View:
+    """Name the members of a range, the primary first."""
+
+    number: int
+    members: tuple[str, ...]  # incarnations
+    renewed_ms: int  # time of the record, by the log's clock
+
+    def primary(self) -> str:
+        """Name the incarnation that decides claims."""
+        return self.members[0]
+
+
+@attrs.frozen(kw_only=True)
+class ViewChange:
+    """Propose a view of a range to follow view number ``previous``."""
+
+    range_id: str
+    previous: int
+    proposer: str
+    members: tuple[str, ...]
+
+
+Views = Mapping[str, View]
+
+
+def apply_view_change(views: Views, change: ViewChange, at_ms: int) -> Views:
+    """Give the views after a change, or raise ``view_conflict``.
+
+    >>> birth = ViewChange(
+    ...     range_id='a-1', previous=0, proposer='a', members=('a', 'b'))
+    >>> views = apply_view_change({}, birth, 0)
+    >>> views['a-1'].primary()
+    'a'
+    """
+    current = views.get(change.range_id)
+    _check_change(current, change)
+    live = {
+        name: view
+        for name, view in views.items()
+        if view.renewed_ms + VIEW_LIFETIME_MS > at_ms
+    }
+    live.pop(change.range_id, None)
+    if change.members:
+        live[change.range_id] = View(
+            number=change.previous + 1,
+            members=change.members,
+            renewed_ms=at_ms,
+        )
+    return live
+
+
+def _check_change(current: View | None, change: ViewChange) -> None:
+    number = current.number if current else 0
+    if change.previous != number:
+        raise WagtailforkError(
+            ResultCode.view_conflict,
+            f'{change.range_id} is at view {number}',
+        )
+    if current is None:
+        _check_birth(change)
+        return
+    outside = set(change.members) - set(current.members)
+    if outside or change.proposer not in current.members:
+        # A member that joined later would not know the claims made before.
+        raise WagtailforkError(
+            ResultCode.view_conflict,
+            f'{change.range_id} has members {current.members}',
+        )
+
+
+def _check_birth(change: ViewChange) -> None:
+    home = change.range_id.partition('-')[0]
+    if change.members[:1] != (home,) or change.proposer != home:
+        raise WagtailforkError(
+            ResultCode.view_conflict,
+            f'{change.range_id} must be made by its home',
+        )
--- /dev/null
+++ b/wagtailfork/core/address.py
@@ -0,0 +1,28 @@
+"""IP addresses with a port, as settings and messages carry them."""
+
+import ipaddress
+from typing import Final
+
+from .errors import WagtailforkError
+from .results import ResultCode
+
+_MAX_PORT: Final = 65535
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """Split ``ip:port``; raise ``settings_invalid`` on anything else.
+
+    >>> split_address('127.0.0.1:80')
+    ('127.0.0.1', 80)
+    >>> split_address('[::1]:80')
+    ('::1', 80)
+    """
+    host, _, port = text.rpartition(':')
+    host = host.removeprefix('[').removesuffix(']')
+    try:
+        ipaddress.ip_address(host)
+    except ValueError as exc:
+        raise WagtailforkError(ResultCode.settings_invalid, text) from exc
+    if not port.isdecimal() or int(port) > _MAX_PORT:
+        raise WagtailforkError(ResultCode.settings_invalid, text)
+    return host, int(port)
--- /dev/null
+++ b/wagtailfork/core/settings.py
@@ -0,0 +1,91 @@
+"""Checked JSON settings of each role."""
+
+import json
+import pathlib
+from typing import Any, TypeVar
+
+import attrs
+
+from .address import split_address
+from .errors import WagtailforkError
+from .results import ResultCode
+from .structure import from_plain
+
+SettingsKind = TypeVar('SettingsKind')
+
+
+def _is_address(_owner: Any, _attribute: Any, text: str) -> None:
+    split_address(text)
+
+
+_POSITIVE = attrs.validators.gt(0)
+
+
+@attrs.frozen(kw_only=True)
+class Timing:
+    """Group the periods and time limits of an entry VM, in seconds."""
+
+    heartbeat_s: float = attrs.field(default=0.5, validator=_POSITIVE)
+    peer_down_s: float = attrs.field(default=2.0, validator=_POSITIVE)
+    vm_list_poll_s: float = attrs.field(default=1.0, validator=_POSITIVE)
+    log_poll_s: float = attrs.field(default=1.0, validator=_POSITIVE)
+    log_timeout_s: float = attrs.field(default=3.0, validator=_POSITIVE)
+    directory_ttl_s: float = attrs.field(default=5.0, validator=_POSITIVE)
+    claim_timeout_s: float = attrs.field(default=0.5, validator=_POSITIVE)
+    default_deadline_s: float = attrs.field(default=10.0, validator=_POSITIVE)
+    traffic_flush_s: float = attrs.field(default=10.0, validator=_POSITIVE)
+    key_slot_s: float = attrs.field(default=60.0, validator=_POSITIVE)
+    snapshot_every_s: float = attrs.field(default=600.0, validator=_POSITIVE)
+
+
+@attrs.frozen(kw_only=True)
+class EntrySettings:
+    """Hold the settings of one ``entry`` process."""
+
+    vm: str = attrs.field(validator=attrs.validators.min_len(1))
+    region: str = attrs.field(validator=attrs.validators.min_len(1))
+    failure_domain: str = attrs.field(validator=attrs.validators.min_len(1))
+    caller_address: str = attrs.field(validator=_is_address)
+    peer_address: str = attrs.field(validator=_is_address)
+    admin_address: str = attrs.field(validator=_is_address)
+    log_url: str
+    vm_list_url: str
+    timing: Timing = attrs.field(factory=Timing)
+    log_level: str = attrs.field(
+        default='INFO',
+        validator=attrs.validators.in_(('DEBUG', 'INFO', 'WARNING', 'ERROR')),
+    )
+    snapshot_every_records: int = attrs.field(default=500, validator=_POSITIVE)
+    queue_limit: int = attrs.field(default=512, validator=_POSITIVE)
+
+
+def parse_settings(text: str, kind: type[SettingsKind]) -> SettingsKind:
+    """Parse settings of one kind from JSON text.
+
+    >>> parse_settings('{"heartbeat_s": 1}', Timing).heartbeat_s
+    1.0
+    >>> parse_settings('{"heartbeat": 1}', Timing)  # doctest: +ELLIPSIS
+    Traceback (most recent call last):
+    ...
+    wagtailfork.core.errors.WagtailforkError: code=6002 result=settings_invalid ...
+    """
+    try:
+        raw = json.loads(text)
+    except ValueError as exc:
+        raise WagtailforkError(
+            ResultCode.settings_unreadable,
+            str(exc),
+        ) from exc
+    return from_plain(raw, kind, ResultCode.settings_invalid)
+
+
+def load_settings(path: str, kind: type[SettingsKind]) -> SettingsKind:
+    """Read and check a settings file."""
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as exc:
+        raise WagtailforkError(
+            ResultCode.settings_unreadable,
+            str(exc),
+        ) from exc
+    return parse_settings(text, kind)
--- /dev/null
+++ b/wagtailfork/loadgen/generator.py
@@ -0,0 +1,135 @@
+"""Send requests at a set rate, whatever the answers, and time them."""
+
+import asyncio
+import collections
+import random
+import secrets
+import time
+from typing import Any, Final
+
+import aiohttp
+import attrs
+from hdrh.histogram import HdrHistogram
+
+_LOWEST_US: Final = 1
+_HIGHEST_US: Final = 60_000_000
+_DIGITS: Final = 3
+_MICRO: Final = 1_000_000
+_FAILED: Final = 'connection'
+
+
+@attrs.frozen(kw_only=True)
+class LoadPlan:
+    """Describe a load: who calls what, how often, how long."""
+
+    directory: str  # address of any entry VM
+    service: str
+    customers: tuple[str, ...]
+    rate: float  # requests per second
+    seconds: float
+    once_share: float = 0  # of requests that must not repeat
+    body_bytes: int = 0
+    deadline_ms: int = 2000
+    seed: int = 1
+
+
+@attrs.define
+class LoadResult:
+    """Count outcomes and time them from the planned moment of sending."""
+
+    outcomes: collections.Counter[str] = attrs.field(
+        factory=collections.Counter,
+    )
+    histogram: Any = attrs.field(
+        factory=lambda: HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS),
+    )
+
+    def quantile_ms(self, percent: float) -> float:
+        """Give a quantile of the whole answers' times, milliseconds."""
+        return float(self.histogram.get_value_at_percentile(percent)) / 1000
+
+    def plain(self) -> dict[str, Any]:
+        """Give the result as plain values."""
+        return {
+            'outcomes': dict(self.outcomes),
+            'p50_ms': self.quantile_ms(50),
+            'p99_ms': self.quantile_ms(99),
+            'p99_9_ms': self.quantile_ms(99.9),
+        }
+
+
+@attrs.define
+class _Caller:
+    plan: LoadPlan
+    http: aiohttp.ClientSession
+    result: LoadResult
+    rng: random.Random
+    entries: list[dict[str, Any]] = attrs.field(factory=list)
+    expires_at: float = 0
+
+    async def refresh(self) -> None:
+        if time.monotonic() < self.expires_at:
+            return
+        known = [entry['address'] for entry in self.entries]
+        for address in [*known, self.plan.directory]:
+            url = f'http://{address}/wagtailfork/v1/directory'
+            try:
+                async with self.http.get(url) as answer:
+                    raw = await answer.json()
+            except (aiohttp.ClientError, OSError, ValueError):
+                continue
+            if raw['entries']:
+                self.entries = raw['entries']
+                self.expires_at = time.monotonic() + raw['expires_in_s']
+                return
+
+    async def send(self, planned_at: float) -> None:
+        entry = self.rng.choice(self.entries)
+        once = self.rng.random() < self.plan.once_share
+        headers = {
+            'wagtailfork-customer': self.rng.choice(self.plan.customers),
+            'wagtailfork-deadline-ms': str(self.plan.deadline_ms),
+        }
+        if once:
+            suffix = secrets.token_hex(8)
+            headers['idempotency-key'] = entry['key_prefix'] + suffix
+        url = f'http://{entry["address"]}/s/{self.plan.service}/load'
+        method = 'POST' if once else 'GET'
+        body = b'x' * self.plan.body_bytes if once else None
+        outcome = _FAILED
+        try:
+            async with self.http.request(
+                method,
+                url,
+                headers=headers,
+                data=body,
+            ) as answer:
+                await answer.read()
+                outcome = answer.headers.get('wagtailfork-result', 'none')
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            outcome = _FAILED
+        self.result.outcomes[outcome] += 1
+        if outcome.startswith('1'):
+            took_us = (time.monotonic() - planned_at) * _MICRO
+            self.result.histogram.record_value(int(took_us))
+
+
+async def run_load(plan: LoadPlan) -> LoadResult:
+    """Run a load to its end."""
+    rng = random.Random(plan.seed)
+    connector = aiohttp.TCPConnector(limit=0)
+    sending: set[asyncio.Task[None]] = set()
+    async with aiohttp.ClientSession(connector=connector) as http:
+        caller = _Caller(plan, http, LoadResult(), rng)
+        start = time.monotonic()
+        planned_at = start
+        while planned_at < start + plan.seconds:
+            planned_at += rng.expovariate(plan.rate)
+            await caller.refresh()
+            await asyncio.sleep(max(0, planned_at - time.monotonic()))
+            task = asyncio.create_task(caller.send(planned_at))
+            sending.add(task)
+            task.add_done_callback(sending.discard)
+        if sending:
+            await asyncio.wait(sending)
+    return caller.result
--- /dev/null
+++ b/wagtailfork/node/dump.py
@@ -0,0 +1,86 @@
+"""The state of one entry VM, on request."""
+
+import time
+from typing import TYPE_CHECKING, Any
+
+from ..core.structure import to_plain
+
+if TYPE_CHECKING:
+    from .entry import EntryNode
+
+
+def dump_node(node: 'EntryNode') -> dict[str, Any]:
+    """Give everything an operator may want to see, as plain values."""
+    return {
+        'vm': node.cfg.vm,
+        'incarnation': node.incarnation,
+        'phase': node.state,
+        'uptime_s': round(time.monotonic() - node.started_at, 3),
+        'control': _dump_control(node),
+        'peers': _dump_peers(node),
+        'ranges': _dump_ranges(node),
+        'endpoints': _dump_endpoints(node),
+        'admission': {
+            'queued': node.admission.queued(),
+            'refusals': node.admission.refusals,
+            'retries': node.dispatcher.retries,
+        },
+        'quarantined': len(node.quarantine),
+        'in_flight': node.front.in_flight,
+        'connections_retired': node.upstream.retirements,
+    }
+
+
+def _dump_control(node: 'EntryNode') -> dict[str, Any]:
+    follower = node.follower
+    age_s = follower.age_s()
+    listed_s = time.monotonic() - node.vm_list.read_at
+    return {
+        'ready': follower.ready,
+        'in_gap': follower.reader.in_gap,
+        'offset': follower.state.offset,
+        'age_s': _seconds(age_s),
+        'vm_list_age_s': _seconds(listed_s),
+        'objects': len(follower.state.objects),
+    }
+
+
+def _seconds(age_s: float) -> float | None:
+    return None if age_s == float('inf') else round(age_s, 3)
+
+
+def _dump_peers(node: 'EntryNode') -> list[dict[str, Any]]:
+    peers = []
+    for link in node.mesh.links():
+        seen = link.seen
+        peers.append({
+            'address': link.address,
+            'state': link.state,
+            'vm': link.peer.vm if link.peer else None,
+            'incarnation': link.peer.incarnation if link.peer else None,
+            'phase': seen.phase if seen else None,
+            'offset': seen.offset if seen else None,
+        })
+    return peers
+
+
+def _dump_ranges(node: 'EntryNode') -> dict[str, Any]:
+    sizes = node.register.sizes()
+    views = node.follower.state.views
+    return {
+        range_id: {'keys': sizes.get(range_id), **to_plain(view)}
+        for range_id, view in views.items()
+    }
+
+
+def _dump_endpoints(node: 'EntryNode') -> list[dict[str, Any]]:
+    return [
+        {
+            'name': each.name,
+            'state': each.state,
+            'in_flight': each.in_flight,
+            'allowance': each.allowance(),
+            'latency_ms': round(each.latency_s * 1000, 3),
+        }
+        for each in node.pool.every()
+    ]
--- /dev/null
+++ b/wagtailfork/node/entry.py
@@ -0,0 +1,287 @@
+"""The only process of an entry VM: its parts, phases and departure."""
+
+import asyncio
+import logging
+import secrets
+import time
+from typing import Final
+
+from ..claims.keeper import RangeKeeper
+from ..claims.register import Register
+from ..control.follower import Follower
+from ..control.log_client import LogClient
+from ..control.publisher import Publisher
+from ..control.snapshotter import Snapshotter
+from ..core.lifecycle import Lifecycle, Step
+from ..core.logs import log_event
+from ..core.server import HttpServer, bind
+from ..core.settings import EntrySettings
+from ..core.supervisor import Supervisor
+from ..peers.mesh import Mesh
+from ..peers.messages import Absolve, Heartbeat, Hello, Message, Strike
+from ..proxy.dispatcher import Dispatcher
+from ..proxy.front import CallerFront
+from ..routing.admission import Admission
+from ..routing.pool import Pool
+from ..routing.quarantine import Quarantine
+from ..routing.upstream import Upstream
+from ..traffic.ledger import Ledger
+from . import web
+from .bootstrap import Bootstrap
+from .directory import NamedEntry
+from .handlers import handle
+from .membership import LIVE, ListedVm, VmListFollower, VmListing
+
+_INCARNATION_BYTES: Final = 6
+_SWEEP_S: Final = 0.05
+_SPREAD_TIMEOUT_S: Final = 0.2
+_SERVING: Final = 'serving'
+
+_logger = logging.getLogger(__name__)
+
+_LIFECYCLE: Final = Lifecycle(
+    ('starting', _SERVING, 'leaving', 'draining', 'stopped'),
+    (
+        Step('begin', ('starting',), _SERVING),
+        Step('leave', ('starting', _SERVING), 'leaving'),
+        Step('drain', ('leaving',), 'draining'),
+        Step('stop', ('draining',), 'stopped'),
+    ),
+)
+
+
+class EntryNode:
+    """Hold the parts of one entry VM and run them under supervisors."""
+
+    def __init__(self, cfg: EntrySettings) -> None:
+        """Build every part and bind the addresses; ``run`` starts them."""
+        self.cfg = cfg
+        self.incarnation = secrets.token_hex(_INCARNATION_BYTES)
+        self.started_at = time.monotonic()
+        self._stop_asked = asyncio.Event()
+        self._build_control()
+        self._build_claims()
+        self._build_data_path()
+        self._build_servers()
+        self.state = _LIFECYCLE.initial
+
+    def ask_stop(self) -> None:
+        """Begin a planned departure."""
+        self._stop_asked.set()
+
+    async def run(self) -> None:
+        """Serve until a planned departure has ended."""
+        tree = asyncio.create_task(self._tree().run())
+        try:
+            await self._until_departed(tree)
+        finally:
+            tree.cancel()
+            await asyncio.gather(tree, return_exceptions=True)
+            await self.upstream.close()
+
+    async def _until_departed(self, tree: asyncio.Task[None]) -> None:
+        stopping = asyncio.create_task(self._stop_asked.wait())
+        await asyncio.wait(
+            (tree, stopping),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if stopping.done():
+            await self._depart()
+        stopping.cancel()
+
+    def named_entries(self) -> list[NamedEntry]:
+        """Give the entry VMs that callers should use now."""
+        named = []
+        for vm in self.vm_list.listing.entries():
+            prefix = self._prefix_of(vm)
+            if prefix is not None and vm.state == LIVE:
+                named.append(NamedEntry(vm=vm, key_prefix=prefix))
+        return named
+
+    async def handle_message(self, message: Message) -> Message:
+        """Answer one message of a peer."""
+        return await handle(message, self)
+
+    def _prefix_of(self, vm: ListedVm) -> str | None:
+        if vm.name == self.cfg.vm:
+            serving = self.state == _SERVING
+            return self.keeper.prefix() or '' if serving else None
+        for link in self.mesh.up_links():
+            if link.address != vm.peer_address or link.seen is None:
+                continue
+            if link.seen.phase == _SERVING:
+                return link.seen.key_prefix
+        return None
+
+    def _build_control(self) -> None:
+        cfg = self.cfg
+        timing = cfg.timing
+        self.log = LogClient(cfg.log_url, timing.log_timeout_s)
+        self.follower = Follower(
+            LogClient(cfg.log_url, timing.log_timeout_s),
+            timing.log_poll_s,
+        )
+        self.publisher = Publisher(self.log, self.follower)
+        self.snapshotter = Snapshotter(
+            self.follower,
+            self.publisher,
+            cfg.snapshot_every_records,
+            timing.snapshot_every_s,
+        )
+        self.vm_list = VmListFollower(
+            cfg.vm_list_url,
+            timing.vm_list_poll_s,
+            self._on_listing,
+        )
+        self.mesh = Mesh(
+            Hello(vm=cfg.vm, incarnation=self.incarnation),
+            timing.heartbeat_s,
+            timing.peer_down_s,
+            self._make_heartbeat,
+        )
+        self.bootstrap = Bootstrap(self.follower, self.mesh)
+
+    def _build_claims(self) -> None:
+        cfg = self.cfg
+        self.register = Register(
+            self.incarnation,
+            self.follower,
+            self.mesh,
+            cfg.timing.key_slot_s,
+            cfg.timing.claim_timeout_s,
+        )
+        self.keeper = RangeKeeper(
+            self.register,
+            self.follower,
+            self.publisher,
+            self.mesh,
+            cfg.failure_domain,
+            cfg.region,
+            cfg.timing.peer_down_s,
+        )
+
+    def _build_data_path(self) -> None:
+        self.pool = Pool(self.cfg.region)
+        self.quarantine = Quarantine()
+        self.upstream = Upstream()
+        self.admission = Admission(self.pool, self.cfg.queue_limit)
+        self.dispatcher = Dispatcher(
+            self.pool,
+            self.admission,
+            self.upstream,
+            self.register,
+            self.quarantine,
+            self._spread_strike,
+            self._spread_absolution,
+        )
+        self.ledger = Ledger(
+            self.cfg.vm,
+            self.incarnation,
+            self.log,
+            self.cfg.timing.traffic_flush_s,
+        )
+        self.follower.listen(self.register.on_state)
+        self.follower.listen(self.pool.on_state)
+        self.follower.listen(self.dispatcher.on_state)
+
+    def _build_servers(self) -> None:
+        self.front = CallerFront(
+            self.dispatcher,
+            self.ledger,
+            web.make_directory_app(self),
+            self.cfg.timing.default_deadline_s,
+        )
+        self.caller_server = HttpServer(
+            self.front,
+            bind(self.cfg.caller_address),
+        )
+        self.admin_server = HttpServer(
+            web.make_admin_app(self),
+            bind(self.cfg.admin_address),
+        )
+        self._peer_socket = bind(self.cfg.peer_address)
+
+    def _tree(self) -> Supervisor:
+        control = Supervisor('control')
+        control.add('follower', self.follower.run)
+        control.add('snapshotter', self.snapshotter.run)
+        control.add('bootstrap', self.bootstrap.run)
+        peers = Supervisor('peers')
+        peers.add('vm_list', self.vm_list.run)
+        peers.add('server', self._serve_peers)
+        peers.add('ranges', self.keeper.run)
+        data = Supervisor('data')
+        data.add('callers', self.caller_server.run)
+        data.add('sweeper', self._sweep)
+        data.add('traffic', self.ledger.run)
+        root = Supervisor('entry')
+        root.add('control', control.run)
+        root.add('peers', peers.run)
+        root.add('data', data.run)
+        root.add('admin', self.admin_server.run)
+        root.add('opening', self._open)
+        return root
+
+    async def _serve_peers(self) -> None:
+        await self.mesh.serve(self._peer_socket, self.handle_message)
+
+    async def _open(self) -> None:
+        await self.follower.wait_ready()
+        if self.state == 'starting':
+            _LIFECYCLE.fire(self, 'begin')
+        log_event(
+            _logger,
+            'entry_serving',
+            vm=self.cfg.vm,
+            incarnation=self.incarnation,
+            callers=self.cfg.caller_address,
+            offset=self.follower.state.offset,
+        )
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(_SWEEP_S)
+            self.admission.sweep()
+            await self.upstream.sweep()
+
+    async def _depart(self) -> None:
+        _LIFECYCLE.fire(self, 'leave')
+        self.front.closing = True
+        log_event(_logger, 'entry_leaving', vm=self.cfg.vm)
+        timing = self.cfg.timing
+        # Callers keep the directory's answer for its time to live, and the
+        # peers name this VM until they have heard one more heartbeat.
+        await asyncio.sleep(timing.directory_ttl_s + 2 * timing.heartbeat_s)
+        await self.keeper.leave()
+        _LIFECYCLE.fire(self, 'drain')
+        await self.caller_server.stop()
+        await self.register.settled()
+        await self.ledger.flush()
+        _LIFECYCLE.fire(self, 'stop')
+        log_event(_logger, 'entry_stopped', vm=self.cfg.vm)
+
+    def _on_listing(self, listing: VmListing) -> None:
+        self.pool.on_leaving(listing.leaving_addresses())
+        self.mesh.reconcile(
+            vm.peer_address
+            for vm in listing.entries()
+            if vm.peer_address != self.cfg.peer_address
+        )
+        mine = [vm for vm in listing.entries() if vm.name == self.cfg.vm]
+        if mine and mine[0].state != LIVE:
+            self.ask_stop()
+
+    def _make_heartbeat(self) -> Heartbeat:
+        return Heartbeat(
+            incarnation=self.incarnation,
+            phase=self.state,
+            offset=self.follower.state.offset,
+        )
+
+    async def _spread_strike(self, fingerprint: str, backend: str) -> None:
+        strike = Strike(fingerprint=fingerprint, backend=backend)
+        await self.mesh.broadcast(strike, _SPREAD_TIMEOUT_S)
+
+    async def _spread_absolution(self, fingerprint: str) -> None:
+        absolve = Absolve(fingerprint=fingerprint)
+        await self.mesh.broadcast(absolve, _SPREAD_TIMEOUT_S)
--- /dev/null
+++ b/wagtailfork/node/handlers.py
@@ -0,0 +1,100 @@
+"""What an entry VM does with each message of a peer."""
+
+import time
+from functools import singledispatch
+from typing import TYPE_CHECKING
+
+from ..control.snapshots import dump_state
+from ..core.errors import WagtailforkError
+from ..core.results import ResultCode
+from ..peers import messages
+from ..peers.messages import Message
+
+if TYPE_CHECKING:
+    from .entry import EntryNode
+
+
+@singledispatch
+async def handle(message: object, node: 'EntryNode') -> Message:
+    """Answer one message."""
+    raise WagtailforkError(ResultCode.frame_unknown_type, repr(message))
+
+
+@handle.register(messages.Hello)
+async def _handle_hello(
+    message: messages.Hello,
+    node: 'EntryNode',
+) -> Message:
+    return messages.HelloReply(
+        vm=node.cfg.vm,
+        incarnation=node.incarnation,
+        region=node.cfg.region,
+        failure_domain=node.cfg.failure_domain,
+    )
+
+
+@handle.register(messages.Heartbeat)
+async def _handle_heartbeat(
+    message: messages.Heartbeat,
+    node: 'EntryNode',
+) -> Message:
+    return messages.HeartbeatReply(
+        incarnation=node.incarnation,
+        phase=node.state,
+        offset=node.follower.state.offset,
+        key_prefix=node.keeper.prefix() or '',
+    )
+
+
+@handle.register(messages.ClaimRequest)
+async def _handle_claim(
+    message: messages.ClaimRequest,
+    node: 'EntryNode',
+) -> Message:
+    return await node.register.serve_claim(message)
+
+
+@handle.register(messages.Replicate)
+async def _handle_replicate(
+    message: messages.Replicate,
+    node: 'EntryNode',
+) -> Message:
+    return await node.register.serve_replicate(message)
+
+
+@handle.register(messages.Settle)
+async def _handle_settle(
+    message: messages.Settle,
+    node: 'EntryNode',
+) -> Message:
+    return await node.register.serve_settle(message)
+
+
+@handle.register(messages.Strike)
+async def _handle_strike(
+    message: messages.Strike,
+    node: 'EntryNode',
+) -> Message:
+    now = time.monotonic()
+    node.quarantine.strike(message.fingerprint, message.backend, now)
+    return messages.Ack()
+
+
+@handle.register(messages.Absolve)
+async def _handle_absolve(
+    message: messages.Absolve,
+    node: 'EntryNode',
+) -> Message:
+    node.quarantine.absolve(message.fingerprint)
+    return messages.Ack()
+
+
+@handle.register(messages.StateRequest)
+async def _handle_state_request(
+    message: messages.StateRequest,
+    node: 'EntryNode',
+) -> Message:
+    follower = node.follower
+    if not follower.ready or follower.state.offset <= message.offset:
+        return messages.StateReply()
+    return messages.StateReply(state=dump_state(follower.state))
--- /dev/null
+++ b/wagtailfork/node/membership.py
@@ -0,0 +1,96 @@
+"""The platform's list of live and leaving VMs, as last read."""
+
+import asyncio
+import json
+import logging
+import time
+from collections.abc import Callable
+from typing import Final
+
+import aiosonic
+import attrs
+from aiosonic.exceptions import AiosonicError
+
+from ..core.errors import WagtailforkError
+from ..core.logs import log_fault
+from ..core.results import ResultCode
+from ..core.structure import from_plain
+
+LIVE: Final = 'live'
+LEAVING: Final = 'leaving'
+ENTRY: Final = 'entry'
+_TIMEOUT_S: Final = 2.0
+
+
+@attrs.frozen(kw_only=True)
+class ListedVm:
+    """Describe one VM of the list; backend servers have no peer address."""
+
+    name: str
+    role: str
+    state: str = attrs.field(validator=attrs.validators.in_((LIVE, LEAVING)))
+    address: str
+    peer_address: str = ''
+    region: str = ''
+    failure_domain: str = ''
+
+
+@attrs.frozen(kw_only=True)
+class VmListing:
+    """Hold one answer of the list."""
+
+    vms: list[ListedVm]
+
+    def entries(self) -> list[ListedVm]:
+        """Give the entry VMs."""
+        return [vm for vm in self.vms if vm.role == ENTRY]
+
+    def leaving_addresses(self) -> list[str]:
+        """Give the addresses of VMs that leave."""
+        return [vm.address for vm in self.vms if vm.state == LEAVING]
+
+
+_FAILURES: Final = (
+    AiosonicError,
+    OSError,
+    TimeoutError,
+    ValueError,
+    WagtailforkError,
+    asyncio.IncompleteReadError,
+)
+
+_logger = logging.getLogger(__name__)
+
+
+@attrs.define
+class VmListFollower:
+    """Poll the list; while it is away the last answer stands."""
+
+    _url: str
+    _poll_s: float
+    _listener: Callable[[VmListing], None]
+    listing: VmListing = attrs.field(factory=lambda: VmListing(vms=[]))
+    read_at: float = float('-inf')
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        failing = False
+        while True:
+            try:
+                self.listing = await self._read()
+            except _FAILURES as exc:
+                if not failing:
+                    log_fault(_logger, 'vm_list_unreadable', error=repr(exc))
+                failing = True
+            else:
+                failing = False
+                self.read_at = time.monotonic()
+                self._listener(self.listing)
+            await asyncio.sleep(self._poll_s)
+
+    async def _read(self) -> VmListing:
+        # A fresh client for each poll: no connection can go silent for good.
+        async with asyncio.timeout(_TIMEOUT_S), aiosonic.HTTPClient() as http:
+            answer = await http.get(f'{self._url.rstrip("/")}/vms')
+            raw = json.loads(await answer.content())
+        return from_plain(raw, VmListing, ResultCode.service_unreachable)
--- /dev/null
+++ b/wagtailfork/node/metrics.py
@@ -0,0 +1,49 @@
+"""Metrics, set from the parts' own counters when they are asked for."""
+
+from typing import TYPE_CHECKING, Final
+
+from aioprometheus import Gauge, Registry, render
+
+if TYPE_CHECKING:
+    from .entry import EntryNode
+
+_GAUGES: Final = {
+    'wagtailfork_in_flight': 'Requests of callers in flight',
+    'wagtailfork_queued': 'Requests waiting for a slot',
+    'wagtailfork_refusals': 'Requests refused early since the start',
+    'wagtailfork_retries': 'Second and later sends since the start',
+    'wagtailfork_control_offset': 'Offset up to which the log is folded',
+    'wagtailfork_control_age_seconds': 'Time since the log was read to its end',
+    'wagtailfork_peers_up': 'Peers that answer heartbeats',
+    'wagtailfork_claims_held': 'Idempotency keys held',
+    'wagtailfork_fingerprints': 'Request fingerprints under suspicion',
+    'wagtailfork_connections_retired': 'Retirements of silent connections',
+    'wagtailfork_traffic_dropped': 'Traffic summaries lost to long outages',
+}
+
+
+def render_metrics(node: 'EntryNode', accept: list[str]) -> tuple[str, str]:
+    """Give the metrics page and its content type."""
+    registry = Registry()
+    values = _read(node)
+    for name, text in _GAUGES.items():
+        gauge = Gauge(name, text, registry=registry)
+        gauge.set({'vm': node.cfg.vm}, values[name])
+    page, headers = render(registry, accept)
+    return page.decode(), headers['Content-Type']
+
+
+def _read(node: 'EntryNode') -> dict[str, float]:
+    return {
+        'wagtailfork_in_flight': node.front.in_flight,
+        'wagtailfork_queued': sum(node.admission.queued().values()),
+        'wagtailfork_refusals': node.admission.refusals,
+        'wagtailfork_retries': node.dispatcher.retries,
+        'wagtailfork_control_offset': node.follower.state.offset,
+        'wagtailfork_control_age_seconds': node.follower.age_s(),
+        'wagtailfork_peers_up': len(node.mesh.up_links()),
+        'wagtailfork_claims_held': sum(node.register.sizes().values()),
+        'wagtailfork_fingerprints': len(node.quarantine),
+        'wagtailfork_connections_retired': node.upstream.retirements,
+        'wagtailfork_traffic_dropped': node.ledger.dropped,
+    }
--- /dev/null
+++ b/wagtailfork/peers/messages.py
@@ -0,0 +1,145 @@
+"""Messages between entry VMs."""
+
+from typing import Any
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class Hello:
+    """Open a link: say who calls and ask who answers."""
+
+    vm: str
+    incarnation: str
+
+
+@attrs.frozen(kw_only=True)
+class HelloReply:
+    """Say who answers."""
+
+    vm: str
+    incarnation: str
+    region: str
+    failure_domain: str
+
+
+@attrs.frozen(kw_only=True)
+class Heartbeat:
+    """Tell a peer that the sender lives and how far it has read."""
+
+    incarnation: str
+    phase: str
+    offset: int
+
+
+@attrs.frozen(kw_only=True)
+class HeartbeatReply:
+    """Answer a heartbeat with the receiver's facts and its key prefix."""
+
+    incarnation: str
+    phase: str
+    offset: int
+    key_prefix: str = ''
+
+
+@attrs.frozen(kw_only=True)
+class ClaimRequest:
+    """Ask a range's primary for the only right to dispatch a key."""
+
+    primary: str  # incarnation that is addressed
+    range_id: str
+    slot: int
+    key: str
+    digest: str
+    claim_id: str
+
+
+@attrs.frozen(kw_only=True)
+class ClaimReply:
+    """Answer a claim with a decision and the kept answer, if any."""
+
+    decision: str
+    status: int = 0
+    content_type: str = ''
+    body: bytes = b''
+
+
+@attrs.frozen(kw_only=True)
+class Replicate:
+    """Store one claim at the other members of a view."""
+
+    member: str  # incarnation that is addressed
+    range_id: str
+    view: int
+    floor: int
+    slot: int
+    key: str
+    digest: str
+
+
+@attrs.frozen(kw_only=True)
+class Settle:
+    """Record how a claimed request ended, at every member."""
+
+    member: str
+    range_id: str
+    slot: int
+    key: str
+    claim_id: str
+    state: str
+    status: int = 0
+    content_type: str = ''
+    body: bytes = b''
+
+
+@attrs.frozen(kw_only=True)
+class Ack:
+    """Accept or refuse a message, with the result code when refused."""
+
+    code: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Strike:
+    """Report that a request's fingerprint was on a server that crashed."""
+
+    fingerprint: str
+    backend: str
+
+
+@attrs.frozen(kw_only=True)
+class Absolve:
+    """Report that a request with this fingerprint was answered whole."""
+
+    fingerprint: str
+
+
+@attrs.frozen(kw_only=True)
+class StateRequest:
+    """Ask a peer for its folded state, if it is beyond an offset."""
+
+    offset: int
+
+
+@attrs.frozen(kw_only=True)
+class StateReply:
+    """Carry a peer's folded state, None where it is no further on."""
+
+    state: Any = None
+
+
+Message = (
+    Hello
+    | HelloReply
+    | Heartbeat
+    | HeartbeatReply
+    | ClaimRequest
+    | ClaimReply
+    | Replicate
+    | Settle
+    | Ack
+    | Strike
+    | Absolve
+    | StateRequest
+    | StateReply
+)
--- /dev/null
+++ b/wagtailfork/proxy/front.py
@@ -0,0 +1,279 @@
+"""The callers' side: an ASGI application that streams both ways."""
+
+import asyncio
+import json
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
+from typing import Any, Final
+
+import attrs
+from aiohttp import ClientError
+from starlette.types import ASGIApp
+
+from ..core.errors import WagtailforkError
+from ..core.results import ResultCode, http_status, result_class
+from ..traffic.ledger import Ledger, Served, TrafficKey
+from . import headers as names
+from .dispatcher import Dispatcher, Ending, Exchange, Replay
+from .request import (
+    BUFFERED_BODY_BYTES,
+    Body,
+    Head,
+    parse_head,
+)
+
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+
+_CALL_PREFIX: Final = '/s/'
+_NO_BACKEND: Final = '-'
+
+
+class CallerGone(Exception):
+    """Report that the caller closed its connection."""
+
+
+@attrs.define(eq=False)
+class _Call:
+    receive: Receive
+    send: Send
+    started_at: float
+    bytes_in: int = 0
+    bytes_out: int = 0
+    request_id: str = ''
+    customer: str = ''
+    service: str = ''
+    backend: str = _NO_BACKEND
+    failure_domain: str = _NO_BACKEND
+    answering: bool = False
+
+
+@attrs.define(eq=False)
+class CallerFront:
+    """Serve callers: requests under ``/s/SERVICE/`` and the directory."""
+
+    _dispatcher: Dispatcher
+    _ledger: Ledger
+    _others: ASGIApp
+    _default_deadline_s: float
+    in_flight: int = 0
+    closing: bool = False  # tell callers not to reuse their connections
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Serve one ASGI scope."""
+        if scope['type'] != 'http':
+            return
+        if not scope['path'].startswith(_CALL_PREFIX):
+            await self._others(scope, receive, send)  # type: ignore[arg-type]
+            return
+        call = _Call(receive, send, time.monotonic())
+        self.in_flight += 1
+        try:
+            await self._serve(scope, call)
+        finally:
+            self.in_flight -= 1
+
+    async def _serve(self, scope: Scope, call: _Call) -> None:
+        result = 'ok'
+        try:
+            await self._answer(scope, call)
+        except WagtailforkError as exc:
+            result = exc.code.name
+            await self._refuse(call, exc)
+        except CallerGone:
+            result = 'caller_gone'
+        self._ledger.add(
+            Served(
+                key=TrafficKey(
+                    customer=call.customer,
+                    service=call.service,
+                    backend=call.backend,
+                    failure_domain=call.failure_domain,
+                    result=result,
+                ),
+                bytes_in=call.bytes_in,
+                bytes_out=call.bytes_out,
+                time_ms=(time.monotonic() - call.started_at) * 1000,
+            ),
+        )
+
+    async def _answer(self, scope: Scope, call: _Call) -> None:
+        req = parse_head(_head(scope), self._default_deadline_s)
+        call.request_id = req.request_id
+        service = self._dispatcher.service_of(req)
+        call.customer = req.customer
+        call.service = req.service
+        req = attrs.evolve(req, body=await _read_body(call))
+        once = req.method in service.once_methods
+        work = self._dispatcher.dispatch(req, service)
+        if once or not req.body.is_whole:
+            # A request that must not repeat runs on although its caller left:
+            # the answer is kept for the next send of its key.
+            result = await work
+        else:
+            result = await _unless_gone(call, work)
+        if isinstance(result, Replay):
+            await self._send_replay(call, result)
+            return
+        await self._pass_on(call, result)
+
+    async def _send_replay(self, call: _Call, replay: Replay) -> None:
+        headers = self._own_headers(call, ResultCode.replayed)
+        headers.append(('content-type', replay.answer.content_type))
+        headers.append(('content-length', str(len(replay.answer.body))))
+        await _start(call, replay.answer.status, headers)
+        await _send_body(call, replay.answer.body, more=False)
+
+    async def _pass_on(
+        self,
+        call: _Call,
+        exchange: Exchange,
+    ) -> None:
+        call.backend = exchange.endpoint.name
+        call.failure_domain = exchange.endpoint.backend.failure_domain
+        ending = Ending.cancelled
+        try:
+            await self._stream(call, exchange)
+            ending = Ending.whole
+        except (ClientError, OSError) as exc:
+            ending = Ending.broken
+            # Ending the call without its last part tells the caller that
+            # the answer is not whole.
+            raise WagtailforkError(
+                ResultCode.connection_lost,
+                repr(exc),
+            ) from exc
+        finally:
+            self._dispatcher.finish(exchange, ending)
+
+    async def _stream(self, call: _Call, exchange: Exchange) -> None:
+        response = exchange.response
+        headers = names.returned(response.headers.items())
+        headers.extend(self._own_headers(call, ResultCode.ok))
+        headers.append((names.BACKEND, exchange.endpoint.name))
+        await _start(call, response.status, headers)
+        if exchange.first:
+            await _send_body(call, exchange.first, more=True)
+        if not exchange.whole:
+            async for chunk in response.content.iter_any():
+                await _send_body(call, chunk, more=True)
+        await _send_body(call, b'', more=False)
+
+    async def _refuse(self, call: _Call, exc: WagtailforkError) -> None:
+        if call.answering:
+            return
+        body = json.dumps({
+            'code': int(exc.code),
+            'result': exc.code.name,
+            'class': result_class(exc.code),
+            'detail': exc.detail,
+            'request_id': call.request_id,
+        }).encode()
+        headers = self._own_headers(call, exc.code)
+        headers.append(('content-type', 'application/json'))
+        headers.append(('content-length', str(len(body))))
+        await _start(call, http_status(exc.code), headers)
+        await _send_body(call, body, more=False)
+
+    def _own_headers(
+        self,
+        call: _Call,
+        code: ResultCode,
+    ) -> list[tuple[str, str]]:
+        headers = [
+            (names.REQUEST_ID, call.request_id),
+            (names.RESULT, f'{code.value} {result_class(code)}'),
+        ]
+        if self.closing:
+            headers.append(('connection', 'close'))
+        return headers
+
+
+def _head(scope: Scope) -> Head:
+    pairs = [
+        (name.decode('latin-1'), text.decode('latin-1'))
+        for name, text in scope['headers']
+    ]
+    return Head(
+        method=scope['method'],
+        path=scope['raw_path'].decode('latin-1'),
+        query=scope['query_string'].decode('latin-1'),
+        headers=pairs,
+    )
+
+
+async def _read_body(call: _Call) -> Body:
+    first = bytearray()
+    more = True
+    while more:
+        message = await call.receive()
+        if message['type'] == 'http.disconnect':
+            raise CallerGone
+        first.extend(message.get('body', b''))
+        more = message.get('more_body', False)
+        if len(first) > BUFFERED_BODY_BYTES:
+            break
+    call.bytes_in += len(first)
+    return Body(first=bytes(first), rest=_read_rest(call) if more else None)
+
+
+async def _read_rest(call: _Call) -> AsyncIterator[bytes]:
+    more = True
+    while more:
+        message = await call.receive()
+        if message['type'] == 'http.disconnect':
+            raise CallerGone
+        chunk = message.get('body', b'')
+        call.bytes_in += len(chunk)
+        more = message.get('more_body', False)
+        if chunk:
+            yield chunk
+
+
+async def _unless_gone(call: _Call, work: Any) -> Any:
+    working = asyncio.ensure_future(work)
+    watching = asyncio.ensure_future(call.receive())
+    try:
+        await asyncio.wait(
+            (working, watching),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if working.done():
+            return working.result()
+    finally:
+        watching.cancel()
+        if not working.done():
+            working.cancel()
+    await asyncio.wait((working,))
+    raise CallerGone
+
+
+async def _start(
+    call: _Call,
+    status: int,
+    headers: list[tuple[str, str]],
+) -> None:
+    call.answering = True
+    await call.send({
+        'type': 'http.response.start',
+        'status': status,
+        'headers': [
+            (name.lower().encode('latin-1'), text.encode('latin-1'))
+            for name, text in headers
+        ],
+    })
+
+
+async def _send_body(call: _Call, chunk: bytes, *, more: bool) -> None:
+    call.bytes_out += len(chunk)
+    await call.send({
+        'type': 'http.response.body',
+        'body': chunk,
+        'more_body': more,
+    })
--- /dev/null
+++ b/wagtailfork/routing/upstream.py
@@ -0,0 +1,228 @@
+"""Exchanges with backend servers over pooled HTTP connections.
+
+aiohttp's client stands in for aiosonic on this path: aiosonic 1.3 never
+waits for a slow reader while it sends a body, and sends some requests again
+by itself when a connection drops.
+"""
+
+import asyncio
+import enum
+import socket
+from collections.abc import AsyncIterator, Callable, Sequence
+from typing import Any, Final
+
+import aiohttp
+import attrs
+from aiohttp import ClientResponse, ClientSession
+from yarl import URL
+
+from .endpoint import Endpoint
+
+CONNECT_TIMEOUT_S: Final = 1.0
+STALL_TIMEOUT_S: Final = 30.0  # a streamed body must move within this time
+_KEEP_ALIVE_S: Final = 15.0
+_UNACKED_TIMEOUT_MS: Final = 3000
+_PROBE_IDLE_S: Final = 2
+_PROBE_EVERY_S: Final = 1
+_PROBE_COUNT: Final = 3
+_PROBE_TIMEOUT_S: Final = 0.5
+
+Headers = Sequence[tuple[str, str]]
+
+
+class FailureKind(enum.StrEnum):
+    """Say how much of a failed request may have reached the server."""
+
+    not_sent = 'not_sent'
+    lost = 'lost'
+    silent = 'silent'
+
+
+class UpstreamError(Exception):
+    """Report a failed exchange."""
+
+    def __init__(self, kind: FailureKind, detail: str) -> None:
+        """Keep the kind and what the client said."""
+        super().__init__(kind, detail)
+        self.kind = kind
+        self.detail = detail
+
+
+@attrs.frozen(kw_only=True)
+class UpstreamRequest:
+    """Hold a request as the backend server will see it."""
+
+    method: str
+    target: str  # path with query, percent-encoded
+    headers: Headers
+    body: 'bytes | StreamedBody'
+
+
+@attrs.define
+class StreamedBody:
+    """Pass a body on as it comes and tell when it moves.
+
+    ``on_progress`` is called with the seconds that the next step may take.
+    """
+
+    _chunks: AsyncIterator[bytes]
+    on_progress: Callable[[float], None] | None = None
+    sent: int = 0
+    started: bool = False
+
+    async def stream(self) -> AsyncIterator[bytes]:
+        """Give the chunks, noting each."""
+        self.started = True
+        async for chunk in self._chunks:
+            self._note(STALL_TIMEOUT_S)
+            self.sent += len(chunk)
+            yield chunk
+        self._note(STALL_TIMEOUT_S)
+
+    def _note(self, limit_s: float) -> None:
+        if self.on_progress is not None:
+            self.on_progress(limit_s)
+
+
+def _make_socket(info: Any) -> socket.socket:
+    family, kind, proto = info[:3]
+    sock = socket.socket(family=family, type=kind, proto=proto)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, _PROBE_IDLE_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, _PROBE_EVERY_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, _PROBE_COUNT)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, _UNACKED_TIMEOUT_MS)
+    return sock
+
+
+def _make_session() -> ClientSession:
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        keepalive_timeout=_KEEP_ALIVE_S,
+        socket_factory=_make_socket,
+    )
+    session = ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        timeout=aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=CONNECT_TIMEOUT_S,
+        ),
+        skip_auto_headers=(
+            'Accept',
+            'Accept-Encoding',
+            'Content-Type',
+            'User-Agent',
+        ),
+    )
+    # Retries belong to the dispatcher, which knows what may run twice.
+    session._retry_connection = False  # noqa: SLF001
+    return session
+
+
+def _payload(body: bytes | StreamedBody, scope: asyncio.Timeout) -> Any:
+    if isinstance(body, bytes):
+        return body or None
+    loop = asyncio.get_running_loop()
+    body.on_progress = lambda limit_s: scope.reschedule(loop.time() + limit_s)
+    return body.stream()
+
+
+@attrs.define
+class Upstream:
+    """Keep one session for each backend server's address."""
+
+    _sessions: dict[str, ClientSession] = attrs.field(factory=dict)
+    _retired: list[ClientSession] = attrs.field(factory=list)
+    _probing: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
+    retirements: int = 0
+
+    async def send(
+        self,
+        endpoint: Endpoint,
+        req: UpstreamRequest,
+        first_byte_s: float,
+    ) -> ClientResponse:
+        """Send a request and wait for the head of its answer.
+
+        Raise ``UpstreamError``; kind ``not_sent`` promises that no byte of
+        the request left this process.
+        """
+        address = endpoint.backend.address
+        url = URL(f'http://{address}{req.target}', encoded=True)
+        session = self._session(address)
+        try:
+            async with asyncio.timeout(first_byte_s) as scope:
+                return await session.request(
+                    req.method,
+                    url,
+                    headers=req.headers,
+                    data=_payload(req.body, scope),
+                    allow_redirects=False,
+                )
+        except aiohttp.ClientConnectorError as exc:
+            raise UpstreamError(FailureKind.not_sent, repr(exc)) from exc
+        except aiohttp.ConnectionTimeoutError as exc:
+            raise UpstreamError(FailureKind.not_sent, repr(exc)) from exc
+        except TimeoutError as exc:
+            raise UpstreamError(FailureKind.silent, address) from exc
+        except (aiohttp.ClientError, OSError) as exc:
+            raise UpstreamError(FailureKind.lost, repr(exc)) from exc
+
+    def suspect(self, endpoint: Endpoint) -> None:
+        """Probe on a fresh connection; if it answers, retire the old ones.
+
+        A server that answers the probe is well, so the silence was the
+        connection's, and its siblings share its fate.
+        """
+        address = endpoint.backend.address
+        if address in self._probing:
+            return
+        task = asyncio.create_task(self._probe(address))
+        self._probing[address] = task
+        task.add_done_callback(lambda _done: self._probing.pop(address, None))
+
+    def retire(self, address: str) -> None:
+        """Stop reusing the open connections to an address."""
+        session = self._sessions.pop(address, None)
+        if session is None:
+            return
+        self.retirements += 1
+        self._retired.append(session)
+
+    async def sweep(self) -> None:
+        """Close retired sessions that carry nothing any more."""
+        for session in tuple(self._retired):
+            connector = session.connector
+            if connector is not None and connector._acquired:  # noqa: SLF001
+                continue
+            self._retired.remove(session)
+            await session.close()
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for session in (*self._sessions.values(), *self._retired):
+            await session.close()
+        self._sessions = {}
+        self._retired = []
+
+    def _session(self, address: str) -> ClientSession:
+        session = self._sessions.get(address)
+        if session is None:
+            session = _make_session()
+            self._sessions[address] = session
+        return session
+
+    async def _probe(self, address: str) -> None:
+        session = _make_session()
+        try:
+            async with asyncio.timeout(_PROBE_TIMEOUT_S):
+                answer = await session.get(f'http://{address}/health')
+                await answer.read()
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return
+        finally:
+            await session.close()
+        self.retire(address)
--- /dev/null
+++ b/wagtailfork/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for backend servers."""
--- /dev/null
+++ b/wagtailfork/traffic/ledger.py
@@ -0,0 +1,129 @@
+"""Sums of this VM's traffic, appended to the log at a bounded rate."""
+
+import asyncio
+import logging
+import time
+from typing import Any, Final
+
+import attrs
+
+from ..control.log_client import TRAFFIC_STREAM, LogClient
+from ..core.errors import WagtailforkError
+from ..core.logs import log_fault
+from ..core.structure import to_plain
+
+_MAX_PENDING: Final = 1000  # summaries kept through an outage of the log
+
+_logger = logging.getLogger(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class TrafficKey:
+    """Name whose traffic went where and how it ended."""
+
+    customer: str
+    service: str
+    backend: str
+    failure_domain: str
+    result: str
+
+
+@attrs.define(kw_only=True)
+class TrafficRow:
+    """Sum the requests of one key."""
+
+    key: TrafficKey
+    requests: int = 0
+    bytes_in: int = 0
+    bytes_out: int = 0
+    time_ms: float = 0
+
+
+@attrs.frozen(kw_only=True)
+class TrafficSummary:
+    """Carry one VM's sums for one period; ``sequence`` finds repeats."""
+
+    vm: str
+    incarnation: str
+    sequence: int
+    from_ms: int
+    to_ms: int
+    rows: list[TrafficRow]
+
+
+@attrs.frozen(kw_only=True)
+class Served:
+    """Describe one finished request."""
+
+    key: TrafficKey
+    bytes_in: int
+    bytes_out: int
+    time_ms: float
+
+
+@attrs.define
+class Ledger:
+    """Sum finished requests and append the sums."""
+
+    _vm: str
+    _incarnation: str
+    _client: LogClient
+    _flush_s: float
+    _rows: dict[TrafficKey, TrafficRow] = attrs.field(factory=dict)
+    _pending: list[TrafficSummary] = attrs.field(factory=list)
+    _sequence: int = 0
+    _since_ms: int = attrs.field(factory=lambda: _now_ms())
+    dropped: int = 0
+
+    def add(self, served: Served) -> None:
+        """Add one finished request."""
+        row = self._rows.get(served.key)
+        if row is None:
+            row = TrafficRow(key=served.key)
+            self._rows[served.key] = row
+        row.requests += 1
+        row.bytes_in += served.bytes_in
+        row.bytes_out += served.bytes_out
+        row.time_ms += served.time_ms
+
+    async def run(self) -> None:
+        """Flush at intervals until cancelled."""
+        while True:
+            await asyncio.sleep(self._flush_s)
+            await self.flush()
+
+    async def flush(self) -> None:
+        """Append what has gathered; keep what the log does not take."""
+        self._cut()
+        while self._pending:
+            body: Any = to_plain(self._pending[0])
+            try:
+                await self._client.append(TRAFFIC_STREAM, body)
+            except WagtailforkError as exc:
+                log_fault(_logger, 'traffic_not_appended', why=exc.detail)
+                return
+            self._pending.pop(0)
+
+    def _cut(self) -> None:
+        now_ms = _now_ms()
+        if self._rows:
+            self._sequence += 1
+            self._pending.append(
+                TrafficSummary(
+                    vm=self._vm,
+                    incarnation=self._incarnation,
+                    sequence=self._sequence,
+                    from_ms=self._since_ms,
+                    to_ms=now_ms,
+                    rows=list(self._rows.values()),
+                ),
+            )
+        self._rows = {}
+        self._since_ms = now_ms
+        if len(self._pending) > _MAX_PENDING:
+            self._pending.pop(0)
+            self.dropped += 1
+
+
+def _now_ms() -> int:
+    return round(time.time() * 1000)
