Drive the whole path as separate processes from one small rig

Found while writing it: hostile plain values made the generated structuring code raise AttributeError past the numbered error; from_plain now turns every failure into the caller's result code. Ruled out: checking types by hand per message (the library does it).

--- a/wagtailfork/claims/keeper.py
+++ b/wagtailfork/claims/keeper.py
@@ -176,5 +176,3 @@
 
 def _is_serving(link: PeerLink) -> bool:
     return link.seen is not None and link.seen.phase == 'serving'
-
-
--- a/wagtailfork/claims/register.py
+++ b/wagtailfork/claims/register.py
@@ -293,10 +293,12 @@
         return view
 
 
-_UNKNOWN_CODES: Final = frozenset((
-    ResultCode.key_expired,
-    ResultCode.range_unreachable,
-))
+_UNKNOWN_CODES: Final = frozenset(
+    (
+        ResultCode.key_expired,
+        ResultCode.range_unreachable,
+    )
+)
 
 
 def _as_unknown(exc: WagtailforkError) -> WagtailforkError:
--- a/wagtailfork/cli/dev.py
+++ b/wagtailfork/cli/dev.py
@@ -52,16 +52,18 @@
         {'kind': 'customer', 'name': _CUSTOMER, 'state': {}},
     ]
     for index in range(_BACKENDS):
-        objects.append({
-            'kind': 'backend',
-            'name': f'{_SERVICE}.{index}',
-            'state': {
-                'service': _SERVICE,
-                'address': ports.backend(index),
-                'region': _REGION,
-                'failure_domain': _DOMAINS[index % 2],
-            },
-        })
+        objects.append(
+            {
+                'kind': 'backend',
+                'name': f'{_SERVICE}.{index}',
+                'state': {
+                    'service': _SERVICE,
+                    'address': ports.backend(index),
+                    'region': _REGION,
+                    'failure_domain': _DOMAINS[index % 2],
+                },
+            }
+        )
     return {'ticket': 1, 'operator': 'dev', 'objects': objects}
 
 
@@ -82,9 +84,7 @@
     stopping = asyncio.Event()
     on_stop_signals(stopping.set)
     async with asyncio.TaskGroup() as group:
-        tasks = [
-            group.create_task(server.run()) for server in _standins(ports)
-        ]
+        tasks = [group.create_task(server.run()) for server in _standins(ports)]
         nodes = [EntryNode(_settings(ports, i)) for i in range(_ENTRIES)]
         tasks.extend(group.create_task(node.run()) for node in nodes)
         await _show(ports)
--- a/wagtailfork/cli/operator.py
+++ b/wagtailfork/cli/operator.py
@@ -95,9 +95,7 @@
 def ticket_show(admin: str, number: int) -> None:
     """Show the objects that are in the state that a ticket gave them."""
     _status, answer = run_async(call_admin('GET', admin, '/objects'))
-    objects = [
-        item for item in answer['objects'] if item['ticket'] == number
-    ]
+    objects = [item for item in answer['objects'] if item['ticket'] == number]
     _print({'ticket': number, 'offset': answer['offset'], 'objects': objects})
 
 
@@ -168,7 +166,9 @@
     cells = [names, *[[str(row[name]) for name in names] for row in rows]]
     widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
     return [
-        '  '.join(cell.ljust(wide) for cell, wide in zip(line, widths, strict=True))
+        '  '.join(
+            cell.ljust(wide) for cell, wide in zip(line, widths, strict=True)
+        )
         for line in cells
     ]
 
--- a/wagtailfork/control/tickets.py
+++ b/wagtailfork/control/tickets.py
@@ -71,7 +71,9 @@
     for item in body.objects:
         ident = (item.kind, item.name)
         if ident in objects:
-            raise WagtailforkError(ResultCode.ticket_malformed, f'twice {ident}')
+            raise WagtailforkError(
+                ResultCode.ticket_malformed, f'twice {ident}'
+            )
         objects[ident] = _parse_state(item)
     return Ticket(
         number=body.ticket,
--- a/wagtailfork/core/structure.py
+++ b/wagtailfork/core/structure.py
@@ -48,9 +48,12 @@
     """Build ``kind`` from plain values or raise ``WagtailforkError(code)``."""
     try:
         return _CONVERTER.structure(raw, kind)
-    except (cattrs.BaseValidationError, TypeError, ValueError, KeyError) as exc:
+    except cattrs.BaseValidationError as exc:
         lines = '; '.join(cattrs.transform_error(exc))
         raise WagtailforkError(code, lines[:_MAX_SHOWN]) from exc
+    except Exception as exc:
+        # Hostile values make the generated code fail in many ways.
+        raise WagtailforkError(code, repr(exc)[:_MAX_SHOWN]) from exc
 
 
 def to_plain(structured: Any) -> Any:
--- a/wagtailfork/node/dump.py
+++ b/wagtailfork/node/dump.py
@@ -53,14 +53,16 @@
     peers = []
     for link in node.mesh.links():
         seen = link.seen
-        peers.append({
-            'address': link.address,
-            'state': link.state,
-            'vm': link.peer.vm if link.peer else None,
-            'incarnation': link.peer.incarnation if link.peer else None,
-            'phase': seen.phase if seen else None,
-            'offset': seen.offset if seen else None,
-        })
+        peers.append(
+            {
+                'address': link.address,
+                'state': link.state,
+                'vm': link.peer.vm if link.peer else None,
+                'incarnation': link.peer.incarnation if link.peer else None,
+                'phase': seen.phase if seen else None,
+                'offset': seen.offset if seen else None,
+            }
+        )
     return peers
 
 
--- a/wagtailfork/node/entry.py
+++ b/wagtailfork/node/entry.py
@@ -265,7 +265,7 @@
         self.mesh.reconcile(
             vm.peer_address
             for vm in listing.entries()
-            if vm.peer_address != self.cfg.peer_address
+            if vm.name != self.cfg.vm
         )
         mine = [vm for vm in listing.entries() if vm.name == self.cfg.vm]
         if mine and mine[0].state != LIVE:
--- a/wagtailfork/node/web.py
+++ b/wagtailfork/node/web.py
@@ -89,7 +89,9 @@
 
 async def _objects(node: 'EntryNode', req: Request) -> Response:
     plain = dump_state(node.follower.state)
-    return JSONResponse({'offset': plain['offset'], 'objects': plain['objects']})
+    return JSONResponse(
+        {'offset': plain['offset'], 'objects': plain['objects']}
+    )
 
 
 async def _submit(node: 'EntryNode', req: Request) -> Response:
--- a/wagtailfork/peers/codec.py
+++ b/wagtailfork/peers/codec.py
@@ -33,12 +33,14 @@
 
 def encode_frame(frame: Frame) -> bytes:
     """Encode a frame as CBOR."""
-    return cbor2.dumps([
-        frame.seq,
-        frame.reply_to,
-        type(frame.message).__name__,
-        to_plain(frame.message),
-    ])
+    return cbor2.dumps(
+        [
+            frame.seq,
+            frame.reply_to,
+            type(frame.message).__name__,
+            to_plain(frame.message),
+        ]
+    )
 
 
 def decode_frame(raw: bytes | str) -> Frame:
--- a/wagtailfork/proxy/dispatcher.py
+++ b/wagtailfork/proxy/dispatcher.py
@@ -431,12 +431,14 @@
             raise WagtailforkError(ResultCode.quarantined, crashed)
 
 
-_RETRIED: Final = frozenset((
-    ResultCode.no_backend,
-    ResultCode.backend_shed,
-    ResultCode.connection_lost,
-    ResultCode.backend_silent,
-))
+_RETRIED: Final = frozenset(
+    (
+        ResultCode.no_backend,
+        ResultCode.backend_shed,
+        ResultCode.connection_lost,
+        ResultCode.backend_silent,
+    )
+)
 
 
 def _state_after(exc: BaseException) -> ClaimState:
--- a/wagtailfork/proxy/front.py
+++ b/wagtailfork/proxy/front.py
@@ -168,13 +168,15 @@
     async def _refuse(self, call: _Call, exc: WagtailforkError) -> None:
         if call.answering:
             return
-        body = json.dumps({
-            'code': int(exc.code),
-            'result': exc.code.name,
-            'class': result_class(exc.code),
-            'detail': exc.detail,
-            'request_id': call.request_id,
-        }).encode()
+        body = json.dumps(
+            {
+                'code': int(exc.code),
+                'result': exc.code.name,
+                'class': result_class(exc.code),
+                'detail': exc.detail,
+                'request_id': call.request_id,
+            }
+        ).encode()
         headers = self._own_headers(call, exc.code)
         headers.append(('content-type', 'application/json'))
         headers.append(('content-length', str(len(body))))
@@ -260,20 +262,24 @@
     headers: list[tuple[str, str]],
 ) -> None:
     call.answering = True
-    await call.send({
-        'type': 'http.response.start',
-        'status': status,
-        'headers': [
-            (name.lower().encode('latin-1'), text.encode('latin-1'))
-            for name, text in headers
-        ],
-    })
+    await call.send(
+        {
+            'type': 'http.response.start',
+            'status': status,
+            'headers': [
+                (name.lower().encode('latin-1'), text.encode('latin-1'))
+                for name, text in headers
+            ],
+        }
+    )
 
 
 async def _send_body(call: _Call, chunk: bytes, *, more: bool) -> None:
     call.bytes_out += len(chunk)
-    await call.send({
-        'type': 'http.response.body',
-        'body': chunk,
-        'more_body': more,
-    })
+    await call.send(
+        {
+            'type': 'http.response.body',
+            'body': chunk,
+            'more_body': more,
+        }
+    )
--- a/wagtailfork/proxy/headers.py
+++ b/wagtailfork/proxy/headers.py
@@ -12,17 +12,19 @@
 SHED: Final = 'wagtailfork-shed'
 DRAINING: Final = 'wagtailfork-draining'
 
-_HOP_BY_HOP: Final = frozenset((
-    'connection',
-    'keep-alive',
-    'proxy-authenticate',
-    'proxy-authorization',
-    'proxy-connection',
-    'te',
-    'trailer',
-    'transfer-encoding',
-    'upgrade',
-))
+_HOP_BY_HOP: Final = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
 _NOT_FORWARDED: Final = _HOP_BY_HOP | {'host', 'expect', DEADLINE_MS}
 _NOT_RETURNED: Final = _HOP_BY_HOP | {REQUEST_ID, RESULT, BACKEND}
 
--- a/wagtailfork/standin/backend.py
+++ b/wagtailfork/standin/backend.py
@@ -122,13 +122,17 @@
             self._silent |= self._seen
         elif path == '/standin/exit':
             os._exit(_CRASH_EXIT)
-        await _answer(send, 200, {
-            'name': self.name,
-            'busy': self._busy,
-            'sheds': self.sheds,
-            'probes': self.probes,
-            'runs': [attrs.asdict(run) for run in self.runs],
-        })
+        await _answer(
+            send,
+            200,
+            {
+                'name': self.name,
+                'busy': self._busy,
+                'sheds': self.sheds,
+                'probes': self.probes,
+                'runs': [attrs.asdict(run) for run in self.runs],
+            },
+        )
 
     async def _work(self, scope: Scope, receive: Receive, send: Send) -> None:
         headers = {
@@ -289,9 +293,11 @@
         (b'content-type', b'application/json'),
         (b'content-length', str(len(raw)).encode()),
     ]
-    await send({
-        'type': 'http.response.start',
-        'status': status,
-        'headers': headers + (extra or []),
-    })
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': status,
+            'headers': headers + (extra or []),
+        }
+    )
     await send({'type': 'http.response.body', 'body': raw})
--- a/wagtailfork/standin/log.py
+++ b/wagtailfork/standin/log.py
@@ -37,11 +37,13 @@
 
     def append(self, record: Any) -> int:
         offset = self.next_offset
-        self.records.append({
-            'offset': offset,
-            'time_ms': round(time.time() * 1000),
-            'record': record,
-        })
+        self.records.append(
+            {
+                'offset': offset,
+                'time_ms': round(time.time() * 1000),
+                'record': record,
+            }
+        )
         return offset
 
     def trim(self, kept: int) -> None:
@@ -98,11 +100,13 @@
         if self.faults.outage:
             return _unavailable()
         first = max(0, start - stream.earliest)
-        return JSONResponse({
-            'earliest': stream.earliest,
-            'next': stream.next_offset,
-            'records': stream.records[first : first + limit],
-        })
+        return JSONResponse(
+            {
+                'earliest': stream.earliest,
+                'next': stream.next_offset,
+                'records': stream.records[first : first + limit],
+            }
+        )
 
     async def _control(self, req: Request) -> Response:
         raw = await req.json()
--- /dev/null
+++ b/wagtailfork/tests/rig.py
@@ -0,0 +1,393 @@
+"""Start, kill, freeze and cut the processes of a small deployment."""
+
+import asyncio
+import json
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import aiohttp
+import attrs
+
+from .relay import Relay
+
+HOST = '127.0.0.1'
+CUSTOMERS = ('kiosk', 'clerk')
+READY_S = 20.0
+STEP_S = 0.05
+DOMAINS = ('hobart-a', 'hobart-b')
+REGION = 'south-tas'
+FAST = {
+    'heartbeat_s': 0.2,
+    'peer_down_s': 0.8,
+    'vm_list_poll_s': 0.2,
+    'log_poll_s': 0.5,
+    'log_timeout_s': 1.0,
+    'directory_ttl_s': 1.0,
+    'traffic_flush_s': 0.5,
+}
+
+
+def free_port() -> int:
+    """Find a port that nothing listens on."""
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return int(sock.getsockname()[1])
+
+
+async def until(
+    check: Callable[[], Awaitable[bool]],
+    limit_s: float = READY_S,
+) -> None:
+    """Wait until a check holds, or raise TimeoutError."""
+    async with asyncio.timeout(limit_s):
+        while not await check():
+            await asyncio.sleep(STEP_S)
+
+
+@attrs.define(eq=False)
+class Entry:
+    """Hold one entry process and its addresses."""
+
+    name: str
+    domain: str
+    ports: tuple[int, int, int]
+    relay: Relay
+    proc: asyncio.subprocess.Process | None = None
+
+    @property
+    def callers(self) -> str:
+        """Give the callers' address."""
+        return f'{HOST}:{self.ports[0]}'
+
+    @property
+    def admin(self) -> str:
+        """Give the administration address."""
+        return f'{HOST}:{self.ports[2]}'
+
+
+@attrs.define(eq=False)
+class Rig:
+    """Run a log, a VM list, backend servers and entry VMs as processes."""
+
+    entries_wanted: int = 3
+    backends_wanted: int = 4
+    service_ms: float = 5
+    timing: dict[str, float] = attrs.field(factory=lambda: dict(FAST))
+    entry_module: str = 'wagtailfork'
+    extra: dict[str, Any] = attrs.field(factory=dict)
+    entries: list[Entry] = attrs.field(factory=list)
+    backend_ports: list[int] = attrs.field(factory=list)
+    log_port: int = attrs.field(factory=free_port)
+    vms_port: int = attrs.field(factory=free_port)
+    log_relay: Relay = attrs.field(init=False)
+    procs: dict[str, asyncio.subprocess.Process] = attrs.field(factory=dict)
+    _dir: Any = attrs.field(factory=tempfile.TemporaryDirectory)
+    http: aiohttp.ClientSession = attrs.field(init=False)
+
+    async def __aenter__(self) -> 'Rig':
+        """Start everything and put ticket 1 in force."""
+        self.http = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=20),
+        )
+        self.log_relay = Relay(self.log_port)
+        await self.log_relay.start()
+        await self.start_standins()
+        for index in range(self.entries_wanted):
+            await self.add_entry(f'entry-{index}', DOMAINS[index % 2])
+        await self.list_vms()
+        for entry in self.entries:
+            await self.until_serving(entry)
+        status, answer = await self.submit(self.first_ticket())
+        assert status == 200, answer
+        await until(self.all_ready)
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """End every process that was started."""
+        await self.http.close()
+        for proc in self.procs.values():
+            if proc.returncode is None:
+                proc.send_signal(signal.SIGCONT)
+                proc.kill()
+        for proc in self.procs.values():
+            await proc.wait()
+        await self.log_relay.close()
+        for entry in self.entries:
+            await entry.relay.close()
+        self._dir.cleanup()
+
+    async def spawn(self, name: str, *args: str, module: str = '') -> None:
+        """Start one process of the product."""
+        self.procs[name] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            module or 'wagtailfork',
+            *args,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+
+    async def start_standins(self) -> None:
+        """Start the log, the VM list and the backend servers."""
+        await self.spawn(
+            'log', 'standin', 'log', '--address', f'{HOST}:{self.log_port}'
+        )
+        await self.spawn(
+            'vms', 'standin', 'vms', '--address', f'{HOST}:{self.vms_port}'
+        )
+        for index in range(self.backends_wanted):
+            self.backend_ports.append(free_port())
+            await self.start_backend(index)
+        for port in (self.log_port, self.vms_port, *self.backend_ports):
+            await until(lambda: is_open(port))  # noqa: B023
+
+    async def start_backend(self, index: int) -> None:
+        """Start one backend server on its port."""
+        await self.spawn(
+            f'backend-{index}',
+            *('standin', 'backend', '--name', f'b{index}'),
+            *('--address', f'{HOST}:{self.backend_ports[index]}'),
+            *('--service-ms', str(self.service_ms)),
+        )
+
+    async def add_entry(self, name: str, domain: str) -> Entry:
+        """Start one more entry VM behind a relay for its peers."""
+        ports = (free_port(), free_port(), free_port())
+        relay = Relay(ports[1])
+        await relay.start()
+        entry = Entry(name, domain, ports, relay)
+        self.entries.append(entry)
+        await self.start_entry(entry)
+        return entry
+
+    async def start_entry(self, entry: Entry) -> None:
+        """Start an entry VM's process, as a new incarnation."""
+        cfg = {
+            'vm': entry.name,
+            'region': REGION,
+            'failure_domain': entry.domain,
+            'caller_address': entry.callers,
+            'peer_address': f'{HOST}:{entry.ports[1]}',
+            'admin_address': entry.admin,
+            'log_url': f'http://{HOST}:{self.log_relay.port}',
+            'vm_list_url': f'http://{HOST}:{self.vms_port}',
+            'timing': self.timing,
+            **self.extra,
+        }
+        path = pathlib.Path(self._dir.name) / f'{entry.name}.json'
+        path.write_text(json.dumps(cfg))
+        await self.spawn(
+            entry.name,
+            *('entry', '--settings', str(path)),
+            module=self.entry_module,
+        )
+        entry.proc = self.procs[entry.name]
+
+    def signal(self, entry: Entry, signum: signal.Signals) -> None:
+        """Send a signal to an entry VM's process."""
+        assert entry.proc is not None
+        if entry.proc.returncode is None:
+            entry.proc.send_signal(signum)
+
+    async def kill(self, entry: Entry) -> None:
+        """Kill an entry VM at once."""
+        self.signal(entry, signal.SIGKILL)
+        assert entry.proc is not None
+        await entry.proc.wait()
+
+    async def list_vms(
+        self,
+        leaving: tuple[str, ...] = (),
+        leaving_backends: tuple[int, ...] = (),
+    ) -> None:
+        """Publish the VM list."""
+        vms = [
+            {
+                'name': entry.name,
+                'role': 'entry',
+                'state': 'leaving' if entry.name in leaving else 'live',
+                'address': entry.callers,
+                'peer_address': f'{HOST}:{entry.relay.port}',
+                'region': REGION,
+                'failure_domain': entry.domain,
+            }
+            for entry in self.entries
+        ]
+        vms.extend(
+            {
+                'name': f'backend-{index}',
+                'role': 'backend',
+                'state': 'leaving',
+                'address': f'{HOST}:{self.backend_ports[index]}',
+            }
+            for index in leaving_backends
+        )
+        await self.post(f'{HOST}:{self.vms_port}/control', {'vms': vms})
+
+    def first_ticket(self) -> dict[str, Any]:
+        """Make the ticket that sets the service up."""
+        objects: list[dict[str, Any]] = [
+            {'kind': 'service', 'name': 'payvend', 'state': {}},
+        ]
+        for customer in CUSTOMERS:
+            objects.append({'kind': 'customer', 'name': customer, 'state': {}})
+        for index, port in enumerate(self.backend_ports):
+            objects.append(self.backend_object(index, port))
+        return {'ticket': 1, 'operator': 'rig', 'objects': objects}
+
+    def backend_object(self, index: int, port: int) -> dict[str, Any]:
+        """Make one backend server's object for a ticket."""
+        return {
+            'kind': 'backend',
+            'name': f'payvend.{index}',
+            'state': {
+                'service': 'payvend',
+                'address': f'{HOST}:{port}',
+                'region': REGION,
+                'failure_domain': DOMAINS[index % 2],
+            },
+        }
+
+    async def submit(
+        self,
+        ticket: Any,
+        entry: int = 0,
+        ident: str = '',
+    ) -> tuple[int, Any]:
+        """Submit a change ticket through one entry VM."""
+        query = f'?id={ident}' if ident else ''
+        url = f'{self.entries[entry].admin}/tickets{query}'
+        return await self.post(url, ticket)
+
+    async def post(self, url: str, body: Any) -> tuple[int, Any]:
+        """Post JSON and give the status and the JSON answer."""
+        async with self.http.post(
+            f'http://{url}',
+            data=json.dumps(body),
+        ) as answer:
+            return answer.status, await answer.json(content_type=None)
+
+    async def get(self, url: str) -> Any:
+        """Get JSON."""
+        async with self.http.get(f'http://{url}') as answer:
+            return await answer.json(content_type=None)
+
+    async def dump(self, entry: Entry) -> Any:
+        """Give an entry VM's dump, None while it does not answer."""
+        try:
+            return await self.get(f'{entry.admin}/dump')
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+            return None
+
+    async def log_faults(self, **faults: Any) -> None:
+        """Set what the log does wrong."""
+        await self.post(f'{HOST}:{self.log_port}/control', faults)
+
+    async def behave(self, index: int, **behaviour: Any) -> None:
+        """Set how a backend server behaves."""
+        behaviour.setdefault('service_ms', self.service_ms)
+        url = f'{HOST}:{self.backend_ports[index]}/standin/behaviour'
+        await self.post(url, behaviour)
+
+    async def runs(self) -> list[dict[str, Any]]:
+        """Collect the run records of the backend servers that live."""
+        found: list[dict[str, Any]] = []
+        for index, port in enumerate(self.backend_ports):
+            if self.procs[f'backend-{index}'].returncode is not None:
+                continue
+            raw = await self.get(f'{HOST}:{port}/standin/state')
+            found.extend({**run, 'backend': index} for run in raw['runs'])
+        return found
+
+    async def until_serving(self, entry: Entry) -> None:
+        """Wait until an entry VM serves."""
+
+        async def check() -> bool:
+            raw = await self.dump(entry)
+            return raw is not None and raw['phase'] == 'serving'
+
+        await until(check)
+
+    async def all_ready(self) -> bool:
+        """Tell whether all entry VMs know the ticket, peers and a range."""
+        for entry in self.entries:
+            raw = await self.dump(entry)
+            if raw is None or len(raw['endpoints']) < self.backends_wanted:
+                return False
+            up = [peer for peer in raw['peers'] if peer['state'] == 'up']
+            if len(up) < len(self.entries) - 1:
+                return False
+        named = await self.directory(self.entries[0])
+        prefixes = [entry['key_prefix'] for entry in named]
+        return len(prefixes) == len(self.entries) and all(prefixes)
+
+    async def directory(self, entry: Entry) -> list[dict[str, Any]]:
+        """Ask an entry VM which to use."""
+        raw = await self.get(f'{entry.callers}/wagtailfork/v1/directory')
+        return list(raw['entries'])
+
+    async def call(
+        self,
+        entry: Entry,
+        method: str = 'GET',
+        path: str = '/item',
+        body: Any = None,
+        **headers: str,
+    ) -> 'Reply':
+        """Call the service as the first customer unless told otherwise."""
+        sent = {name.replace('_', '-'): text for name, text in headers.items()}
+        sent.setdefault('wagtailfork-customer', CUSTOMERS[0])
+        url = f'http://{entry.callers}/s/payvend{path}'
+        try:
+            async with self.http.request(
+                method,
+                url,
+                headers=sent,
+                data=body,
+            ) as answer:
+                raw = await answer.read()
+                found = {
+                    name.lower(): text for name, text in answer.headers.items()
+                }
+                return Reply(answer.status, found, raw)
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            return Reply(0, {}, repr(exc).encode())
+
+
+@attrs.frozen
+class Reply:
+    """Hold what a caller got; status 0 stands for a lost connection."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def kind(self) -> str:
+        """Name the class of the result, 'lost' where no answer came."""
+        text = self.headers.get('wagtailfork-result', '')
+        return text.partition(' ')[2] or 'lost'
+
+    @property
+    def code(self) -> int:
+        """Give the numbered result, 0 where no answer came."""
+        text = self.headers.get('wagtailfork-result', '0')
+        return int(text.partition(' ')[0])
+
+    def json(self) -> Any:
+        """Parse the body."""
+        return json.loads(self.body)
+
+
+async def is_open(port: int) -> bool:
+    """Tell whether something listens on a port."""
+    try:
+        _reader, writer = await asyncio.open_connection(HOST, port)
+    except OSError:
+        return False
+    writer.close()
+    return True
