--- a/wagtailfork/control/follower.py
+++ b/wagtailfork/control/follower.py
@@ -35,6 +35,7 @@
     _verdicts: dict[str, asyncio.Future[tuple[int, Verdict]]] = attrs.field(
         factory=dict,
     )
+    _caught_up: bool = False
     _moved: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     @property
@@ -44,8 +45,8 @@
 
     @property
     def ready(self) -> bool:
-        """Tell whether a whole prefix of the log is known."""
-        return self.reader.state is not None
+        """Tell whether the log was once read to its end, here or by a peer."""
+        return self._caught_up and self.reader.state is not None
 
     def age_s(self) -> float:
         """Give the seconds since the log was last read to its end."""
@@ -76,6 +77,7 @@
         before = self.state.offset
         known = self.ready
         folds = self.reader.adopt(state)
+        self._caught_up = True
         if known and self.state.offset == before:
             return False
         log_event(_logger, 'state_adopted', offset=self.state.offset)
@@ -103,9 +105,9 @@
 
     def _take(self, page: Page) -> None:
         folds: dict[int, Folded] = {}
+        first_time = False
         if self.reader.state is None and page.next == 0:
             self.reader.state = ControlState()
-            self._publish(folds)
         for entry in page.records:
             folds.update(self.reader.push(entry))
             self.records_since_snapshot += 1
@@ -114,7 +116,9 @@
             self._resolve(entry.offset, entry.record, folds)
         if self.reader.next_offset() >= page.next and not self.reader.in_gap:
             self.read_at = time.monotonic()
-        if page.records:
+            first_time = not self._caught_up
+            self._caught_up = True
+        if page.records or first_time:
             self._publish(folds)
 
     def _count_snapshot(self, kind: object) -> None:
--- a/wagtailfork/core/results.py
+++ b/wagtailfork/core/results.py
@@ -25,9 +25,7 @@
     quarantined = 2011
     bad_header = 2012
     key_closed = 2013
-    not_serving = 2014
-    rate_limited = 2015
-    body_too_large = 2016
+    rate_limited = 2014
 
     replayed = 3001
     ran_answer_not_kept = 3002
@@ -38,6 +36,7 @@
     in_progress = 4004
     key_expired = 4005
     backend_silent = 4006
+    not_serving = 4007
 
     ticket_malformed = 5001
     ticket_stale = 5002
@@ -48,6 +47,7 @@
     view_conflict = 5007
     log_gap = 5008
     bad_request = 5009
+    body_too_large = 5010
 
     settings_unreadable = 6001
     settings_invalid = 6002
--- a/wagtailfork/node/entry.py
+++ b/wagtailfork/node/entry.py
@@ -190,6 +190,7 @@
             self.ledger,
             web.make_directory_app(self),
             self.cfg.timing.default_deadline_s,
+            lambda: self.follower.ready,
         )
         self.caller_server = HttpServer(
             self.front,
--- a/wagtailfork/proxy/dispatcher.py
+++ b/wagtailfork/proxy/dispatcher.py
@@ -146,6 +146,41 @@
         self._check_quarantine(req)
         return await self._dispatch_repeatable(req, service)
 
+    async def close_key(
+        self,
+        req: CallerRequest,
+        refusal: WagtailforkError,
+    ) -> WagtailforkError:
+        """Give the true refusal of a request that was refused unclaimed.
+
+        'Not run' is true only once no other send of the key can run, so the
+        key is claimed and closed first.
+        """
+        if not self._is_keyed(req):
+            return refusal
+        try:
+            order = self._order(req)
+        except WagtailforkError:
+            # A key that is not ours never runs, whoever sends it.
+            return refusal
+        try:
+            reply = await self._claim(req, order)
+        except WagtailforkError as exc:
+            return exc
+        decision = Decision(reply.decision)
+        if decision == Decision.granted:
+            self.register.settle(order, ClaimState.closed, Answer())
+            return refusal
+        if decision == Decision.closed:
+            return refusal
+        return WagtailforkError(_DECISION_CODES[decision], order.key.suffix)
+
+    def _is_keyed(self, req: CallerRequest) -> bool:
+        service = self._state.find('service', req.service)
+        if isinstance(service, Service):
+            return req.method in service.once_methods
+        return req.method not in _ALWAYS_REPEATABLE
+
     def finish(self, exchange: Exchange, ending: Ending) -> None:
         """End an exchange whose answer was passed on, whole or not."""
         took_s = time.monotonic() - exchange.sent_at
@@ -431,6 +466,15 @@
             raise WagtailforkError(ResultCode.quarantined, crashed)
 
 
+_ALWAYS_REPEATABLE: Final = frozenset(
+    (
+        'GET',
+        'HEAD',
+        'OPTIONS',
+        'PUT',
+        'DELETE',
+    )
+)
 _RETRIED: Final = frozenset(
     (
         ResultCode.no_backend,
--- a/wagtailfork/proxy/front.py
+++ b/wagtailfork/proxy/front.py
@@ -10,6 +10,7 @@
 from aiohttp import ClientError
 from starlette.types import ASGIApp
 
+from ..control.objects import Service
 from ..core.errors import WagtailforkError
 from ..core.results import ResultCode, http_status, result_class
 from ..traffic.ledger import Ledger, Served, TrafficKey
@@ -18,6 +19,7 @@
 from .request import (
     BUFFERED_BODY_BYTES,
     Body,
+    CallerRequest,
     Head,
     parse_head,
 )
@@ -57,6 +59,7 @@
     _ledger: Ledger
     _others: ASGIApp
     _default_deadline_s: float
+    is_serving: Callable[[], bool]
     in_flight: int = 0
     closing: bool = False  # tell callers not to reuse their connections
 
@@ -106,7 +109,7 @@
     async def _answer(self, scope: Scope, call: _Call) -> None:
         req = parse_head(_head(scope), self._default_deadline_s)
         call.request_id = req.request_id
-        service = self._dispatcher.service_of(req)
+        service = await self._check(call, req)
         call.customer = req.customer
         call.service = req.service
         req = attrs.evolve(req, body=await _read_body(call))
@@ -123,6 +126,15 @@
             return
         await self._pass_on(call, result)
 
+    async def _check(self, call: _Call, req: CallerRequest) -> Service:
+        if not self.is_serving():
+            raise WagtailforkError(ResultCode.not_serving, 'starting')
+        try:
+            return self._dispatcher.service_of(req)
+        except WagtailforkError as exc:
+            whole = attrs.evolve(req, body=await _read_body(call))
+            raise await self._dispatcher.close_key(whole, exc) from exc
+
     async def _send_replay(self, call: _Call, replay: Replay) -> None:
         headers = self._own_headers(call, ResultCode.replayed)
         headers.append(('content-type', replay.answer.content_type))
--- a/wagtailfork/tests/rig.py
+++ b/wagtailfork/tests/rig.py
@@ -1,7 +1,9 @@
 """Start, kill, freeze and cut the processes of a small deployment."""
 
 import asyncio
+import itertools
 import json
+import os
 import pathlib
 import signal
 import socket
@@ -32,11 +34,21 @@
 }
 
 
+_FIRST_PORT = 12000
+_PORTS = 18000  # below the range from which the system picks by itself
+_ports = itertools.count(os.getpid() * 101)
+
+
 def free_port() -> int:
-    """Find a port that nothing listens on."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return int(sock.getsockname()[1])
+    """Find a port that nothing listens on and no client will be given."""
+    while True:
+        port = _FIRST_PORT + next(_ports) % _PORTS
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        return port
 
 
 async def until(
@@ -90,7 +102,15 @@
     http: aiohttp.ClientSession = attrs.field(init=False)
 
     async def __aenter__(self) -> 'Rig':
-        """Start everything and put ticket 1 in force."""
+        """Start everything, or end what was started."""
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start(self) -> None:
         self.http = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=20),
         )
@@ -105,7 +125,6 @@
         status, answer = await self.submit(self.first_ticket())
         assert status == 200, answer
         await until(self.all_ready)
-        return self
 
     async def __aexit__(self, *_exc: object) -> None:
         """End every process that was started."""
@@ -128,6 +147,7 @@
             '-m',
             module or 'wagtailfork',
             *args,
+            stdout=asyncio.subprocess.DEVNULL,
             stderr=asyncio.subprocess.DEVNULL,
         )
 
