--- a/wagtailfork/claims/keeper.py
+++ b/wagtailfork/claims/keeper.py
@@ -14,7 +14,7 @@
 from ..core.errors import WagtailforkError
 from ..core.logs import log_event
 from ..core.results import ResultCode
-from ..core.structure import to_plain
+from ..core.structure import render_plain
 from ..peers.link import PeerLink
 from ..peers.mesh import Mesh
 from .keys import format_prefix
@@ -159,7 +159,7 @@
         try:
             _offset, verdict = await self._publisher.publish(
                 'view',
-                to_plain(change),
+                render_plain(change),
                 _PUBLISH_WAIT_S,
             )
         except WagtailforkError:
--- a/wagtailfork/claims/keys.py
+++ b/wagtailfork/claims/keys.py
@@ -12,6 +12,8 @@
     r'^wf1\.([0-9a-f]{12}-[0-9]{1,9})\.([0-9]{1,9})\.([A-Za-z0-9_-]{1,64})$',
 )
 
+_MAX_SHOWN: Final = 99  # characters of a bad key in a message
+
 
 @attrs.frozen
 class IdempotencyKey:
@@ -39,6 +41,6 @@
     """
     found = _KEY.match(text)
     if found is None:
-        raise WagtailforkError(ResultCode.key_malformed, text[:99])
+        raise WagtailforkError(ResultCode.key_malformed, text[:_MAX_SHOWN])
     range_id, slot, suffix = found.groups()
     return IdempotencyKey(range_id, int(slot), suffix)
--- a/wagtailfork/claims/register.py
+++ b/wagtailfork/claims/register.py
@@ -79,19 +79,21 @@
         An empty table is right at first sight: no claim was ever granted
         without this member's acknowledgement.
         """
-        for range_id, view in state.views.items():
-            if self.incarnation not in view.members:
-                continue
-            if range_id not in self._ranges and range_id not in self._dropped:
-                table = ClaimTable()
-                held = HeldRange(table, 0, time.monotonic())
-                self._ranges[range_id] = held
-        for range_id in tuple(self._ranges):
-            view_now = state.views.get(range_id)
-            if view_now is None or self.incarnation not in view_now.members:
-                self._ranges.pop(range_id)
-                # A birth record appended again late must not open it anew.
-                self._dropped.add(range_id)
+        mine = {
+            range_id
+            for range_id, view in state.views.items()
+            if self.incarnation in view.members
+        }
+        for range_id in mine - set(self._ranges) - self._dropped:
+            self._ranges[range_id] = HeldRange(
+                ClaimTable(),
+                0,
+                time.monotonic(),
+            )
+        for range_id in set(self._ranges) - mine:
+            self._ranges.pop(range_id)
+            # A birth record appended again late must not open it anew.
+            self._dropped.add(range_id)
 
     def current_slot(self, range_id: str) -> int:
         """Give the slot for a prefix issued now."""
--- a/wagtailfork/cli/dev.py
+++ b/wagtailfork/cli/dev.py
@@ -47,12 +47,12 @@
 
 def sample_ticket(ports: _Ports) -> dict[str, Any]:
     """Make the change ticket that sets the embedded example up."""
-    objects: list[dict[str, Any]] = [
+    made: list[dict[str, Any]] = [
         {'kind': 'service', 'name': _SERVICE, 'state': {}},
         {'kind': 'customer', 'name': _CUSTOMER, 'state': {}},
     ]
     for index in range(_BACKENDS):
-        objects.append(
+        made.append(
             {
                 'kind': 'backend',
                 'name': f'{_SERVICE}.{index}',
@@ -64,7 +64,7 @@
                 },
             }
         )
-    return {'ticket': 1, 'operator': 'dev', 'objects': objects}
+    return {'ticket': 1, 'operator': 'dev', 'objects': made}
 
 
 @click.command()
@@ -85,7 +85,9 @@
     on_stop_signals(stopping.set)
     async with asyncio.TaskGroup() as group:
         tasks = [group.create_task(server.run()) for server in _standins(ports)]
-        nodes = [EntryNode(_settings(ports, i)) for i in range(_ENTRIES)]
+        nodes = [
+            EntryNode(_settings(ports, index)) for index in range(_ENTRIES)
+        ]
         tasks.extend(group.create_task(node.run()) for node in nodes)
         await _show(ports)
         try:
--- a/wagtailfork/cli/load.py
+++ b/wagtailfork/cli/load.py
@@ -12,7 +12,7 @@
 EXIT_FAILED: Final = 3
 
 
-@click.command()
+@click.command('load')
 @click.option('--directory', required=True, help='Address of any entry VM.')
 @click.option('--service', required=True)
 @click.option('--customer', 'customers', required=True, multiple=True)
@@ -21,7 +21,7 @@
 @click.option('--once-share', default=0.0, show_default=True)
 @click.option('--deadline-ms', default=2000, show_default=True)
 @click.option('--seed', default=1, show_default=True)
-def load(**options: object) -> None:
+def load_command(**options: object) -> None:
     """Send a load to a service and print outcomes and quantiles."""
     plan = LoadPlan(**options)  # type: ignore[arg-type]
     result = run_async(run_load(plan))
--- a/wagtailfork/cli/main.py
+++ b/wagtailfork/cli/main.py
@@ -8,8 +8,14 @@
 from .. import __version__
 from ..core.errors import WagtailforkError
 from .dev import dev
-from .load import load
-from .operator import dump, objects, report, settings, ticket
+from .load import load_command
+from .operator import (
+    dump_command,
+    objects_command,
+    report,
+    settings,
+    ticket,
+)
 from .roles import entry, standin
 
 EXIT_ERROR: Final = 1
@@ -35,15 +41,22 @@
     """
 
 
-for command in (
+_COMMANDS: Final = (
     dev,
-    dump,
+    dump_command,
     entry,
-    load,
-    objects,
+    load_command,
+    objects_command,
     report,
     settings,
     standin,
     ticket,
-):
-    main.add_command(command)
+)
+
+
+def _add_commands(group: click.Group) -> None:
+    for command in _COMMANDS:
+        group.add_command(command)
+
+
+_add_commands(main)
--- a/wagtailfork/cli/operator.py
+++ b/wagtailfork/cli/operator.py
@@ -99,16 +99,16 @@
     _print({'ticket': number, 'offset': answer['offset'], 'objects': objects})
 
 
-@click.command()
+@click.command('objects')
 @_ADMIN
-def objects(admin: str) -> None:
+def objects_command(admin: str) -> None:
     """Show every object in force."""
     _print(run_async(call_admin('GET', admin, '/objects'))[1])
 
 
-@click.command()
+@click.command('dump')
 @_ADMIN
-def dump(admin: str) -> None:
+def dump_command(admin: str) -> None:
     """Show the state of one entry VM."""
     _print(run_async(call_admin('GET', admin, '/dump'))[1])
 
--- a/wagtailfork/cli/roles.py
+++ b/wagtailfork/cli/roles.py
@@ -81,5 +81,9 @@
 async def _serve(app: Any, address: str) -> None:
     server = HttpServer(app, bind(address))
     serving = asyncio.create_task(server.run())
-    on_stop_signals(serving.cancel)
+    on_stop_signals(lambda: _cancel(serving))
     await asyncio.wait((serving,))
+
+
+def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
--- a/wagtailfork/control/fold.py
+++ b/wagtailfork/control/fold.py
@@ -12,7 +12,7 @@
 
 from ..core.errors import WagtailforkError
 from ..core.results import ResultCode
-from ..core.structure import from_plain
+from ..core.structure import parse_plain
 from .objects import ControlObject, references
 from .tickets import ObjectId, Ticket, parse_ticket
 from .views import View, ViewChange, apply_view_change
@@ -134,14 +134,14 @@
 
 def parse_record(raw: Any) -> tuple[str, Ticket | ViewChange | SnapshotRecord]:
     """Parse a record into its identity and typed body, or raise."""
-    record = from_plain(raw, _RawRecord, ResultCode.record_malformed)
+    record = parse_plain(raw, _RawRecord, ResultCode.record_malformed)
     if record.kind == 'ticket':
         return record.id, parse_ticket(record.body)
     if record.kind == 'view':
-        body = from_plain(record.body, ViewChange, ResultCode.record_malformed)
+        body = parse_plain(record.body, ViewChange, ResultCode.record_malformed)
         return record.id, body
     if record.kind == 'snapshot':
-        shot = from_plain(
+        shot = parse_plain(
             record.body,
             SnapshotRecord,
             ResultCode.record_malformed,
@@ -224,15 +224,25 @@
     ticket: Ticket,
     objects: Mapping[ObjectId, StoredObject],
 ) -> None:
-    removed = {ident for ident, item in ticket.objects if item is None}
     touched = {ident for ident, _item in ticket.objects}
+    is_removing = any(item is None for _ident, item in ticket.objects)
     for ident, stored in objects.items():
-        if stored.state is None or not (removed or ident in touched):
+        if stored.state is None:
             continue
-        for needed in references(stored.state):
-            present = objects.get(needed)
-            if present is None or present.state is None:
-                raise WagtailforkError(
-                    ResultCode.ticket_dangling,
-                    f'{ident} needs {needed}',
-                )
+        if is_removing or ident in touched:
+            _check_present(ident, stored.state, objects)
+
+
+def _check_present(
+    ident: ObjectId,
+    item: ControlObject,
+    objects: Mapping[ObjectId, StoredObject],
+) -> None:
+    for needed in references(item):
+        present = objects.get(needed)
+        if present is not None and present.state is not None:
+            continue
+        raise WagtailforkError(
+            ResultCode.ticket_dangling,
+            f'{ident} needs {needed}',
+        )
--- a/wagtailfork/control/log_client.py
+++ b/wagtailfork/control/log_client.py
@@ -11,7 +11,7 @@
 
 from ..core.errors import WagtailforkError
 from ..core.results import HTTP_OK, ResultCode
-from ..core.structure import from_plain
+from ..core.structure import parse_plain
 from .fold import LogRecord
 
 CONTROL_STREAM: Final = 'control'
@@ -58,7 +58,7 @@
         have been appended.
         """
         raw = await self._call('POST', f'/streams/{stream}/records', record, 0)
-        return from_plain(raw, _Appended, ResultCode.log_unavailable).offset
+        return parse_plain(raw, _Appended, ResultCode.log_unavailable).offset
 
     async def read(self, stream: str, start: int, wait_s: float = 0) -> Page:
         """Read records from ``start`` on, waiting up to ``wait_s`` for one."""
@@ -68,7 +68,7 @@
             f'?from={start}&limit={READ_LIMIT}&wait_ms={wait_ms}'
         )
         raw = await self._call('GET', path, None, wait_s)
-        return from_plain(raw, Page, ResultCode.log_unavailable)
+        return parse_plain(raw, Page, ResultCode.log_unavailable)
 
     async def close(self) -> None:
         """Close the connections."""
--- a/wagtailfork/control/objects.py
+++ b/wagtailfork/control/objects.py
@@ -8,13 +8,13 @@
 from ..core.address import split_address
 from ..core.errors import WagtailforkError
 from ..core.results import ResultCode
-from ..core.structure import from_plain
+from ..core.structure import parse_plain
 
 ANY_CUSTOMER: Final = '*'
 
 _NAME: Final = re.compile(r'^[a-z0-9][a-z0-9_.-]{0,62}$')
 _MAX_SLOTS: Final = 10000
-_POSITIVE = attrs.validators.gt(0)
+_POSITIVE: Any = attrs.validators.gt(0)
 
 
 def _is_name(_owner: Any, _attribute: Any, text: str) -> None:
@@ -121,7 +121,7 @@
     >>> parse_object('customer', {'weight': 2}).weight
     2.0
     """
-    return from_plain(state, KINDS[kind], ResultCode.ticket_malformed)
+    return parse_plain(state, KINDS[kind], ResultCode.ticket_malformed)
 
 
 def references(item: ControlObject) -> tuple[tuple[str, str], ...]:
--- a/wagtailfork/control/snapshots.py
+++ b/wagtailfork/control/snapshots.py
@@ -7,7 +7,7 @@
 
 from ..core.errors import WagtailforkError
 from ..core.results import ResultCode
-from ..core.structure import from_plain, to_plain
+from ..core.structure import parse_plain, render_plain
 from .fold import (
     ControlState,
     LogRecord,
@@ -49,7 +49,7 @@
             name,
             stored.ticket,
             stored.digest,
-            None if stored.state is None else to_plain(stored.state),
+            None if stored.state is None else render_plain(stored.state),
         )
         for (kind, name), stored in sorted(state.objects.items())
     ]
@@ -63,7 +63,7 @@
         views=dict(state.views),
         recent=recent,
     )
-    return dict(to_plain(plain))
+    return dict(render_plain(plain))
 
 
 def load_state(raw: Any) -> ControlState:
@@ -72,7 +72,7 @@
     >>> load_state(dump_state(ControlState())) == ControlState()
     True
     """
-    plain = from_plain(raw, _PlainState, ResultCode.record_malformed)
+    plain = parse_plain(raw, _PlainState, ResultCode.record_malformed)
     objects = {
         (item.kind, item.name): StoredObject(
             item.ticket,
--- a/wagtailfork/control/tickets.py
+++ b/wagtailfork/control/tickets.py
@@ -8,10 +8,10 @@
 
 from ..core.errors import WagtailforkError
 from ..core.results import ResultCode
-from ..core.structure import from_plain
+from ..core.structure import parse_plain
 from .objects import ControlObject, check_identity, parse_object
 
-MAX_TICKET_BYTES: Final = 1 << 20
+MAX_TICKET_BYTES: Final = 1048576
 _DIGEST_CHARS: Final = 32
 
 ObjectId = tuple[str, str]  # kind and name
@@ -66,7 +66,7 @@
     >>> parse_ticket(raw).number
     1
     """
-    body = from_plain(raw, TicketBody, ResultCode.ticket_malformed)
+    body = parse_plain(raw, TicketBody, ResultCode.ticket_malformed)
     objects: dict[ObjectId, ControlObject | None] = {}
     for item in body.objects:
         ident = (item.kind, item.name)
--- a/wagtailfork/core/server.py
+++ b/wagtailfork/core/server.py
@@ -16,6 +16,7 @@
 TRANSPORT_KEY: Final = 'wagtailfork.transport'
 _BACKLOG: Final = 1024
 _KEEP_ALIVE_S: Final = 75
+_STOP_POLL_S: Final = 0.05
 
 
 class TransportProtocol(HttpToolsProtocol):
@@ -24,7 +25,8 @@
     def on_message_begin(self) -> None:
         """Add the transport to the scope of the next request."""
         super().on_message_begin()
-        self.scope[TRANSPORT_KEY] = self.transport  # type: ignore[literal-required]
+        scope: Any = self.scope
+        scope[TRANSPORT_KEY] = self.transport
 
 
 class _QuietServer(uvicorn.Server):
@@ -79,4 +81,4 @@
         """Stop accepting and wait for open requests, however long."""
         self._server.should_exit = True
         while self._server.started and self._server.server_state.tasks:
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(_STOP_POLL_S)
--- a/wagtailfork/core/settings.py
+++ b/wagtailfork/core/settings.py
@@ -9,7 +9,7 @@
 from .address import split_address
 from .errors import WagtailforkError
 from .results import ResultCode
-from .structure import from_plain
+from .structure import parse_plain
 
 SettingsKind = TypeVar('SettingsKind')
 
@@ -18,7 +18,7 @@
     split_address(text)
 
 
-_POSITIVE = attrs.validators.gt(0)
+_POSITIVE: Any = attrs.validators.gt(0)
 
 
 @attrs.frozen(kw_only=True)
@@ -64,10 +64,10 @@
 
     >>> parse_settings('{"heartbeat_s": 1}', Timing).heartbeat_s
     1.0
-    >>> parse_settings('{"heartbeat": 1}', Timing)  # doctest: +ELLIPSIS
+    >>> parse_settings('{"heartbeat": 1}', Timing)
     Traceback (most recent call last):
     ...
-    wagtailfork.core.errors.WagtailforkError: code=6002 result=settings_invalid ...
+    wagtailfork.core.errors.WagtailforkError: code=6002 ...
     """
     try:
         raw = json.loads(text)
@@ -76,7 +76,7 @@
             ResultCode.settings_unreadable,
             str(exc),
         ) from exc
-    return from_plain(raw, kind, ResultCode.settings_invalid)
+    return parse_plain(raw, kind, ResultCode.settings_invalid)
 
 
 def load_settings(path: str, kind: type[SettingsKind]) -> SettingsKind:
--- a/wagtailfork/core/structure.py
+++ b/wagtailfork/core/structure.py
@@ -40,7 +40,7 @@
 _CONVERTER: Final = _make_converter()
 
 
-def from_plain(
+def parse_plain(
     raw: Any,
     kind: type[Value],
     code: ResultCode,
@@ -56,6 +56,6 @@
         raise WagtailforkError(code, repr(exc)[:_MAX_SHOWN]) from exc
 
 
-def to_plain(structured: Any) -> Any:
+def render_plain(structured: Any) -> Any:
     """Turn an attrs value into plain dictionaries, lists and scalars."""
     return _CONVERTER.unstructure(structured)
--- a/wagtailfork/loadgen/generator.py
+++ b/wagtailfork/loadgen/generator.py
@@ -14,7 +14,11 @@
 _LOWEST_US: Final = 1
 _HIGHEST_US: Final = 60_000_000
 _DIGITS: Final = 3
+_MEDIAN: Final = 50
+_P99: Final = 99
+_P99_9: Final = 99.9
 _MICRO: Final = 1_000_000
+_SUFFIX_BYTES: Final = 8
 _FAILED: Final = 'connection'
 
 
@@ -52,9 +56,9 @@
         """Give the result as plain values."""
         return {
             'outcomes': dict(self.outcomes),
-            'p50_ms': self.quantile_ms(50),
-            'p99_ms': self.quantile_ms(99),
-            'p99_9_ms': self.quantile_ms(99.9),
+            'p50_ms': self.quantile_ms(_MEDIAN),
+            'p99_ms': self.quantile_ms(_P99),
+            'p99_9_ms': self.quantile_ms(_P99_9),
         }
 
 
@@ -84,34 +88,37 @@
                 return
 
     async def send(self, planned_at: float) -> None:
+        outcome = await self._exchange()
+        self.result.outcomes[outcome] += 1
+        if outcome.startswith('1'):
+            took_us = (time.monotonic() - planned_at) * _MICRO
+            self.result.histogram.record_value(int(took_us))
+
+    async def _exchange(self) -> str:
         entry = self.rng.choice(self.entries)
         once = self.rng.random() < self.plan.once_share
-        headers = {
-            'wagtailfork-customer': self.rng.choice(self.plan.customers),
-            'wagtailfork-deadline-ms': str(self.plan.deadline_ms),
-        }
-        if once:
-            suffix = secrets.token_hex(8)
-            headers['idempotency-key'] = entry['key_prefix'] + suffix
         url = f'http://{entry["address"]}/s/{self.plan.service}/load'
-        method = 'POST' if once else 'GET'
-        body = b'x' * self.plan.body_bytes if once else None
-        outcome = _FAILED
         try:
             async with self.http.request(
-                method,
+                'POST' if once else 'GET',
                 url,
-                headers=headers,
-                data=body,
+                headers=self._headers(entry, once=once),
+                data=b'x' * self.plan.body_bytes if once else None,
             ) as answer:
                 await answer.read()
-                outcome = answer.headers.get('wagtailfork-result', 'none')
+                return answer.headers.get('wagtailfork-result', 'none')
         except (aiohttp.ClientError, OSError, TimeoutError):
-            outcome = _FAILED
-        self.result.outcomes[outcome] += 1
-        if outcome.startswith('1'):
-            took_us = (time.monotonic() - planned_at) * _MICRO
-            self.result.histogram.record_value(int(took_us))
+            return _FAILED
+
+    def _headers(self, entry: dict[str, Any], *, once: bool) -> dict[str, str]:
+        headers = {
+            'wagtailfork-customer': self.rng.choice(self.plan.customers),
+            'wagtailfork-deadline-ms': str(self.plan.deadline_ms),
+        }
+        if once:
+            suffix = secrets.token_hex(_SUFFIX_BYTES)
+            headers['idempotency-key'] = entry['key_prefix'] + suffix
+        return headers
 
 
 async def run_load(plan: LoadPlan) -> LoadResult:
--- a/wagtailfork/node/dump.py
+++ b/wagtailfork/node/dump.py
@@ -3,7 +3,7 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from ..core.structure import to_plain
+from ..core.structure import render_plain
 
 if TYPE_CHECKING:
     from .entry import EntryNode
@@ -70,7 +70,7 @@
     sizes = node.register.sizes()
     views = node.follower.state.views
     return {
-        range_id: {'keys': sizes.get(range_id), **to_plain(view)}
+        range_id: {'keys': sizes.get(range_id), **render_plain(view)}
         for range_id, view in views.items()
     }
 
--- a/wagtailfork/node/entry.py
+++ b/wagtailfork/node/entry.py
@@ -19,6 +19,7 @@
 from ..core.supervisor import Supervisor
 from ..peers.mesh import Mesh
 from ..peers.messages import Absolve, Heartbeat, Hello, Message, Strike
+from ..proxy.claimant import Claimant
 from ..proxy.dispatcher import Dispatcher
 from ..proxy.front import CallerFront
 from ..routing.admission import Admission
@@ -94,8 +95,9 @@
         named = []
         for vm in self.vm_list.listing.entries():
             prefix = self._prefix_of(vm)
-            if prefix is not None and vm.state == LIVE:
-                named.append(NamedEntry(vm=vm, key_prefix=prefix))
+            if prefix is None or vm.state != LIVE:
+                continue
+            named.append(NamedEntry(vm=vm, key_prefix=prefix))
         return named
 
     async def handle_message(self, message: Message) -> Message:
@@ -106,12 +108,10 @@
         if vm.name == self.cfg.vm:
             serving = self.state == _SERVING
             return self.keeper.prefix() or '' if serving else None
-        for link in self.mesh.up_links():
-            if link.address != vm.peer_address or link.seen is None:
-                continue
-            if link.seen.phase == _SERVING:
-                return link.seen.key_prefix
-        return None
+        link = self.mesh.by_address(vm.peer_address)
+        if link is None or link.seen is None or link.seen.phase != _SERVING:
+            return None
+        return link.seen.key_prefix
 
     def _build_control(self) -> None:
         cfg = self.cfg
@@ -169,7 +169,7 @@
             self.pool,
             self.admission,
             self.upstream,
-            self.register,
+            Claimant(self.register),
             self.quarantine,
             self._spread_strike,
             self._spread_absolution,
--- a/wagtailfork/node/membership.py
+++ b/wagtailfork/node/membership.py
@@ -14,7 +14,7 @@
 from ..core.errors import WagtailforkError
 from ..core.logs import log_fault
 from ..core.results import ResultCode
-from ..core.structure import from_plain
+from ..core.structure import parse_plain
 
 LIVE: Final = 'live'
 LEAVING: Final = 'leaving'
@@ -93,4 +93,4 @@
         async with asyncio.timeout(_TIMEOUT_S), aiosonic.HTTPClient() as http:
             answer = await http.get(f'{self._url.rstrip("/")}/vms')
             raw = json.loads(await answer.content())
-        return from_plain(raw, VmListing, ResultCode.service_unreachable)
+        return parse_plain(raw, VmListing, ResultCode.service_unreachable)
--- a/wagtailfork/peers/codec.py
+++ b/wagtailfork/peers/codec.py
@@ -7,10 +7,11 @@
 
 from ..core.errors import WagtailforkError
 from ..core.results import ResultCode
-from ..core.structure import from_plain, to_plain
+from ..core.structure import parse_plain, render_plain
 from .messages import Message
 
-MAX_FRAME_BYTES: Final = 16 << 20
+MAX_FRAME_BYTES: Final = 16777216
+_MAX_SHOWN: Final = 99  # characters of a bad frame in a message
 
 _KINDS: Final[dict[str, type[Any]]] = {
     kind.__name__: kind for kind in get_args(Message)
@@ -38,7 +39,7 @@
             frame.seq,
             frame.reply_to,
             type(frame.message).__name__,
-            to_plain(frame.message),
+            render_plain(frame.message),
         ]
     )
 
@@ -54,8 +55,10 @@
         raise WagtailforkError(ResultCode.frame_malformed, 'text frame')
     seq, reply_to, kind, body = _split(raw)
     if kind not in _KINDS:
-        raise WagtailforkError(ResultCode.frame_unknown_type, repr(kind)[:99])
-    message = from_plain(body, _KINDS[kind], ResultCode.frame_malformed)
+        raise WagtailforkError(
+            ResultCode.frame_unknown_type, repr(kind)[:_MAX_SHOWN]
+        )
+    message = parse_plain(body, _KINDS[kind], ResultCode.frame_malformed)
     return Frame(seq, reply_to, message)
 
 
@@ -66,7 +69,7 @@
         # The decoder raises many kinds of error on hostile bytes.
         raise WagtailforkError(
             ResultCode.frame_malformed,
-            repr(exc)[:99],
+            repr(exc)[:_MAX_SHOWN],
         ) from exc
     if not isinstance(parts, list) or len(parts) != _FRAME_PARTS:
         raise WagtailforkError(ResultCode.frame_malformed, 'not four parts')
--- a/wagtailfork/peers/mesh.py
+++ b/wagtailfork/peers/mesh.py
@@ -8,6 +8,7 @@
 
 import attrs
 import websockets
+from websockets import CloseCode
 from websockets.asyncio.server import ServerConnection, serve
 
 from ..core.errors import WagtailforkError
@@ -53,6 +54,11 @@
                 return link
         return None
 
+    def by_address(self, address: str) -> PeerLink | None:
+        """Find the link to an address if it is up."""
+        link = self._links.get(address)
+        return link if link is not None and link.is_up else None
+
     def reconcile(self, addresses: Iterable[str]) -> None:
         """Open links to new addresses and drop those no longer named."""
         wanted = set(addresses)
@@ -104,7 +110,9 @@
         except WagtailforkError as exc:
             # One broken frame ends this connection only; nothing was applied.
             log_fault(_logger, 'peer_frame', code=int(exc.code), why=exc.detail)
-            await conn.close(code=1002, reason=f'code={exc.code.value}')
+            await conn.close(
+                code=CloseCode.PROTOCOL_ERROR, reason=f'code={exc.code.value}'
+            )
         except (websockets.WebSocketException, OSError) as exc:
             log_event(_logger, 'peer_gone', why=repr(exc))
 
--- a/wagtailfork/proxy/dispatcher.py
+++ b/wagtailfork/proxy/dispatcher.py
@@ -1,29 +1,19 @@
 """Serve one request: claim it if it must not repeat, choose, send, retry."""
 
-import enum
 import logging
-import secrets
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Final
 
 import attrs
 from aiohttp import ClientError, ClientResponse
 
-from ..claims.keys import parse_key
-from ..claims.register import ClaimOrder, Register
-from ..claims.table import (
-    MAX_KEPT_BODY_BYTES,
-    Answer,
-    ClaimState,
-    Decision,
-)
+from ..claims.table import MAX_KEPT_BODY_BYTES
 from ..control.fold import ControlState
 from ..control.objects import Customer, Limit, Service
 from ..core.errors import WagtailforkError
 from ..core.logs import log_event
 from ..core.results import ResultCode, result_class
-from ..peers.messages import ClaimReply
 from ..routing.admission import Admission, Demand
 from ..routing.budget import RetryBudget
 from ..routing.endpoint import Endpoint
@@ -38,54 +28,18 @@
     UpstreamRequest,
 )
 from . import headers as names
-from .request import Body, CallerRequest
+from .claimant import Claimant
+from .exchange import Ending, Exchange, Replay
+from .request import MAX_FIELD_BYTES, Body, CallerRequest
 
 _SERVER_ERROR: Final = 500
 _UNAVAILABLE: Final = 503
-_CLAIM_ID_BYTES: Final = 8
 
 _logger = logging.getLogger(__name__)
 
 Spread = Callable[[str, str], Awaitable[None]]  # fingerprint, backend server
 
 
-class Ending(enum.StrEnum):
-    """Say how the passing on of an answer ended."""
-
-    whole = 'whole'
-    broken = 'broken'  # by the backend server
-    cancelled = 'cancelled'  # by the caller
-
-
-@attrs.define(eq=False)
-class Exchange:
-    """Hold a backend server's answer while it is passed on."""
-
-    endpoint: Endpoint
-    response: ClientResponse
-    sent_at: float
-    first: bytes = b''  # the part of the body that is already read
-    whole: bool = False  # whether ``first`` is the whole body
-
-
-@attrs.frozen
-class Replay:
-    """Hold the kept answer of a request that ran before."""
-
-    answer: Answer
-
-
-_DECISION_CODES: Final = {
-    Decision.in_progress: ResultCode.in_progress,
-    Decision.pending: ResultCode.in_progress,
-    Decision.ran: ResultCode.replayed,
-    Decision.ran_not_kept: ResultCode.ran_answer_not_kept,
-    Decision.closed: ResultCode.key_closed,
-    Decision.unknown: ResultCode.connection_lost,
-    Decision.conflict: ResultCode.key_conflict,
-    Decision.expired: ResultCode.key_expired,
-}
-
 _FAILURE_CODES: Final = {
     FailureKind.not_sent: ResultCode.no_backend,
     FailureKind.lost: ResultCode.connection_lost,
@@ -100,7 +54,7 @@
     pool: Pool
     admission: Admission
     upstream: Upstream
-    register: Register
+    _claimant: Claimant
     quarantine: Quarantine
     _spread_strike: Spread
     _spread_absolution: Callable[[str], Awaitable[None]]
@@ -146,40 +100,19 @@
         self._check_quarantine(req)
         return await self._dispatch_repeatable(req, service)
 
-    async def close_key(
+    async def refuse(
         self,
         req: CallerRequest,
         refusal: WagtailforkError,
     ) -> WagtailforkError:
-        """Give the true refusal of a request that was refused unclaimed.
-
-        'Not run' is true only once no other send of the key can run, so the
-        key is claimed and closed first.
-        """
-        if not self._is_keyed(req):
-            return refusal
-        try:
-            order = self._order(req)
-        except WagtailforkError:
-            # A key that is not ours never runs, whoever sends it.
-            return refusal
-        try:
-            reply = await self._claim(req, order)
-        except WagtailforkError as exc:
-            return exc
-        decision = Decision(reply.decision)
-        if decision == Decision.granted:
-            self.register.settle(order, ClaimState.closed, Answer())
-            return refusal
-        if decision == Decision.closed:
-            return refusal
-        return WagtailforkError(_DECISION_CODES[decision], order.key.suffix)
-
-    def _is_keyed(self, req: CallerRequest) -> bool:
+        """Give the refusal to tell, after closing the request's key."""
         service = self._state.find('service', req.service)
+        once = req.method not in _ALWAYS_REPEATABLE
         if isinstance(service, Service):
-            return req.method in service.once_methods
-        return req.method not in _ALWAYS_REPEATABLE
+            once = req.method in service.once_methods
+        if not once:
+            return refusal
+        return await self._claimant.close(req, refusal)
 
     def finish(self, exchange: Exchange, ending: Ending) -> None:
         """End an exchange whose answer was passed on, whole or not."""
@@ -237,66 +170,33 @@
         req: CallerRequest,
         service: Service,
     ) -> Exchange | Replay:
-        order = self._order(req)
-        reply = await self._claim(req, order)
-        decision = Decision(reply.decision)
-        if decision == Decision.ran:
-            return Replay(
-                Answer(
-                    status=reply.status,
-                    content_type=reply.content_type,
-                    body=reply.body,
-                ),
-            )
-        if decision != Decision.granted:
-            self.register.settle(order, ClaimState.pending, Answer())
-            raise WagtailforkError(_DECISION_CODES[decision], order.key.suffix)
+        order = await self._claimant.claim(req)
+        if isinstance(order, Replay):
+            return order
         try:
-            return await self._run_claimed(req, service, order)
+            exchange = await self._run_claimed(req, service)
         except BaseException as exc:
-            self.register.settle(order, _state_after(exc), Answer())
-            raise
-
-    def _order(self, req: CallerRequest) -> ClaimOrder:
-        if not req.key_text:
-            raise WagtailforkError(ResultCode.key_missing, req.method)
-        return ClaimOrder(
-            key=parse_key(req.key_text),
-            customer=req.customer,
-            digest=req.fingerprint,
-            claim_id=secrets.token_hex(_CLAIM_ID_BYTES),
-        )
-
-    async def _claim(
-        self,
-        req: CallerRequest,
-        order: ClaimOrder,
-    ) -> ClaimReply:
-        try:
-            return await self.register.claim(order, req.deadline)
-        except BaseException:
-            # This send will never dispatch: let a later one claim the key.
-            self.register.settle(order, ClaimState.pending, Answer())
+            self._claimant.settle_failed(order, exc)
             raise
+        self._claimant.settle_ran(order, exchange)
+        return exchange
 
     async def _run_claimed(
         self,
         req: CallerRequest,
         service: Service,
-        order: ClaimOrder,
     ) -> Exchange:
         self._check_rate(req)
         self._check_quarantine(req)
         exchange = await self._dispatch_claimed(req, service)
         try:
-            await self._read_first(exchange)
+            await exchange.read_first(MAX_KEPT_BODY_BYTES)
         except (ClientError, OSError) as exc:
             self.finish(exchange, Ending.broken)
             raise WagtailforkError(
                 ResultCode.connection_lost,
                 repr(exc),
             ) from exc
-        self._settle_ran(order, exchange)
         return exchange
 
     async def _dispatch_claimed(
@@ -311,39 +211,22 @@
             try:
                 return await self._attempt(req, service, endpoint)
             except WagtailforkError as exc:
-                # Only 'not run' answers allow a second server.
-                if result_class(exc.code) != 'not-run':
-                    raise
-                if exc.code not in _RETRIED or not req.body.is_whole:
-                    raise
-                budget = self._budget(req.service, service)
-                if not budget.spend():
+                if not self._may_send_again(req, exc, service):
                     raise
             self.retries += 1
             excluded |= {endpoint.name}
 
-    def _settle_ran(self, order: ClaimOrder, exchange: Exchange) -> None:
-        if not exchange.whole or len(exchange.first) > MAX_KEPT_BODY_BYTES:
-            self.register.settle(order, ClaimState.ran_not_kept, Answer())
-            return
-        content_type = exchange.response.headers.get('content-type', '')
-        answer = Answer(
-            status=exchange.response.status,
-            content_type=content_type,
-            body=exchange.first,
-        )
-        self.register.settle(order, ClaimState.ran, answer)
-
-    async def _read_first(self, exchange: Exchange) -> None:
-        stream = exchange.response.content
-        first = bytearray()
-        while len(first) <= MAX_KEPT_BODY_BYTES:
-            chunk = await stream.readany()
-            if not chunk:
-                exchange.whole = True
-                break
-            first.extend(chunk)
-        exchange.first = bytes(first)
+    def _may_send_again(
+        self,
+        req: CallerRequest,
+        exc: WagtailforkError,
+        service: Service,
+    ) -> bool:
+        # Only a true 'not run' of the first server allows a second one.
+        if result_class(exc.code) != 'not-run' or exc.code not in _RETRIED:
+            return False
+        budget = self._budget(req.service, service)
+        return req.body.is_whole and budget.spend()
 
     async def _attempt(
         self,
@@ -427,7 +310,7 @@
             self.upstream.retire(endpoint.backend.address)
             raise WagtailforkError(
                 ResultCode.connection_lost,
-                f'{endpoint.name} answered request {echoed[:64]}',
+                f'{endpoint.name} answered request {echoed[:MAX_FIELD_BYTES]}',
             )
         if names.DRAINING in response.headers:
             self.pool.on_draining(endpoint)
@@ -485,13 +368,6 @@
 )
 
 
-def _state_after(exc: BaseException) -> ClaimState:
-    if isinstance(exc, WagtailforkError):
-        if result_class(exc.code) == 'not-run':
-            return ClaimState.closed
-    return ClaimState.unknown
-
-
 def _upstream_request(
     req: CallerRequest,
     remaining_s: float,
@@ -516,7 +392,7 @@
     return StreamedBody(_joined(body))
 
 
-async def _joined(body: Body):  # type: ignore[no-untyped-def]
+async def _joined(body: Body) -> AsyncIterator[bytes]:
     yield body.first
     if body.rest is None:
         return
--- a/wagtailfork/proxy/front.py
+++ b/wagtailfork/proxy/front.py
@@ -15,7 +15,8 @@
 from ..core.results import ResultCode, http_status, result_class
 from ..traffic.ledger import Ledger, Served, TrafficKey
 from . import headers as names
-from .dispatcher import Dispatcher, Ending, Exchange, Replay
+from .dispatcher import Dispatcher
+from .exchange import Ending, Exchange, Replay
 from .request import (
     BUFFERED_BODY_BYTES,
     Body,
@@ -73,7 +74,7 @@
         if scope['type'] != 'http':
             return
         if not scope['path'].startswith(_CALL_PREFIX):
-            await self._others(scope, receive, send)  # type: ignore[arg-type]
+            await self._others(scope, receive, send)
             return
         call = _Call(receive, send, time.monotonic())
         self.in_flight += 1
@@ -133,7 +134,7 @@
             return self._dispatcher.service_of(req)
         except WagtailforkError as exc:
             whole = attrs.evolve(req, body=await _read_body(call))
-            raise await self._dispatcher.close_key(whole, exc) from exc
+            raise await self._dispatcher.refuse(whole, exc) from exc
 
     async def _send_replay(self, call: _Call, replay: Replay) -> None:
         headers = self._own_headers(call, ResultCode.replayed)
--- a/wagtailfork/proxy/request.py
+++ b/wagtailfork/proxy/request.py
@@ -13,7 +13,7 @@
 from ..core.results import ResultCode
 from . import headers as names
 
-BUFFERED_BODY_BYTES: Final = 64 << 10
+BUFFERED_BODY_BYTES: Final = 65536
 MAX_FIELD_BYTES: Final = 256
 MAX_DEADLINE_MS: Final = 24 * 60 * 60 * 1000
 _DIGEST_BYTES: Final = 16
@@ -102,7 +102,9 @@
 def _split_path(head: Head) -> tuple[str, str]:
     parts = head.path.split('/', 3)
     if len(parts) < 3 or parts[1] != 's' or not parts[2]:
-        raise WagtailforkError(ResultCode.unknown_service, head.path[:99])
+        raise WagtailforkError(
+            ResultCode.unknown_service, head.path[:MAX_FIELD_BYTES]
+        )
     target = f'/{parts[3]}' if len(parts) > 3 else '/'
     if head.query:
         target = f'{target}?{head.query}'
--- a/wagtailfork/routing/admission.py
+++ b/wagtailfork/routing/admission.py
@@ -162,24 +162,19 @@
 
     def _serve(self, line: _Line) -> None:
         while len(line.queue):
-            chosen: list[Endpoint] = []
-            waiter = line.queue.pop_first(
-                lambda item: self._try_serve(item, chosen),  # noqa: B023
-            )
+            waiter = line.queue.pop_first(self._try_serve)
             if waiter is None:
                 return
-            if waiter.fut.done():
-                chosen[0].ended()
-                continue
-            waiter.fut.set_result(chosen[0])
 
-    def _try_serve(self, waiter: _Waiter, chosen: list[Endpoint]) -> bool:
+    def _try_serve(self, waiter: _Waiter) -> bool:
+        if waiter.fut.done():
+            return True
         demand = waiter.demand
         allowed = self._pool.allowed(demand.customer, demand.service)
         endpoint = self._choose(allowed or [], demand)
         if endpoint is None:
             return False
-        chosen.append(endpoint)
+        waiter.fut.set_result(endpoint)
         return True
 
 
--- a/wagtailfork/routing/budget.py
+++ b/wagtailfork/routing/budget.py
@@ -6,6 +6,7 @@
 
 _FLOOR_TOKENS: Final = 3.0  # so that a quiet service can still retry
 _MAX_TOKENS: Final = 50.0
+_ROUNDING: Final = 1e-9
 
 
 @attrs.define
@@ -31,7 +32,7 @@
     def spend(self) -> bool:
         """Take one retry if the budget has it."""
         # Ten earnings of a tenth sum to just under one in binary floats.
-        if self._tokens < 1 - 1e-9:
+        if self._tokens < 1 - _ROUNDING:
             return False
         self._tokens -= 1
         return True
--- a/wagtailfork/standin/backend.py
+++ b/wagtailfork/standin/backend.py
@@ -7,13 +7,14 @@
 import random
 import time
 from collections.abc import Awaitable, Callable, MutableMapping
+from http import HTTPStatus
 from typing import Any, Final
 
 import attrs
 
 from ..core.results import ResultCode
 from ..core.server import TRANSPORT_KEY
-from ..core.structure import from_plain
+from ..core.structure import parse_plain
 
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
@@ -98,7 +99,7 @@
             await self._control(path, receive, send)
         elif path in {'/health', '/load'}:
             self.probes += 1
-            await _answer(send, 200, self._health())
+            await _answer(send, HTTPStatus.OK, self._health())
         else:
             await self._work(scope, receive, send)
 
@@ -113,7 +114,7 @@
     async def _control(self, path: str, receive: Receive, send: Send) -> None:
         body = await _read_all(receive)
         if path == '/standin/behaviour':
-            self.behaviour = from_plain(
+            self.behaviour = parse_plain(
                 json.loads(body),
                 BackendBehaviour,
                 ResultCode.bad_request,
@@ -124,7 +125,7 @@
             os._exit(_CRASH_EXIT)
         await _answer(
             send,
-            200,
+            HTTPStatus.OK,
             {
                 'name': self.name,
                 'busy': self._busy,
@@ -145,7 +146,7 @@
             self.sheds += 1
             await _answer(
                 send,
-                503,
+                HTTPStatus.SERVICE_UNAVAILABLE,
                 {'shed': True},
                 [(b'wagtailfork-shed', b'1')],
             )
@@ -260,7 +261,8 @@
         extra = [(b'x-request-id', run.request_id.encode())]
         if self.behaviour.draining and not self.behaviour.health_lies:
             extra.append((b'wagtailfork-draining', b'1'))
-        status = 200 if run.outcome == 'ran' else 504
+        is_whole = run.outcome == 'ran'
+        status = HTTPStatus.OK if is_whole else HTTPStatus.GATEWAY_TIMEOUT
         body: dict[str, Any] = {
             'backend': self.name,
             'request_id': run.request_id,
--- a/wagtailfork/standin/log.py
+++ b/wagtailfork/standin/log.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from http import HTTPStatus
 from typing import Any, Final
 
 import attrs
@@ -11,7 +12,7 @@
 from starlette.routing import Route
 
 from ..core.results import ResultCode
-from ..core.structure import from_plain
+from ..core.structure import parse_plain
 
 _WAIT_STEP_S: Final = 0.005
 
@@ -110,7 +111,7 @@
 
     async def _control(self, req: Request) -> Response:
         raw = await req.json()
-        self.faults = from_plain(raw, LogFaults, ResultCode.bad_request)
+        self.faults = parse_plain(raw, LogFaults, ResultCode.bad_request)
         return JSONResponse({'ok': True})
 
     async def _trim(self, req: Request) -> Response:
@@ -133,4 +134,6 @@
 
 
 def _unavailable() -> Response:
-    return JSONResponse({'error': 'unavailable'}, status_code=503)
+    return JSONResponse(
+        {'error': 'unavailable'}, status_code=HTTPStatus.SERVICE_UNAVAILABLE
+    )
--- a/wagtailfork/standin/vms.py
+++ b/wagtailfork/standin/vms.py
@@ -1,6 +1,7 @@
 """A stand-in for the platform's list of live and leaving VMs."""
 
 import asyncio
+from http import HTTPStatus
 from typing import Any
 
 import attrs
@@ -34,7 +35,10 @@
 
     async def _list(self, req: Request) -> Response:
         if self.outage:
-            return JSONResponse({'error': 'unavailable'}, status_code=503)
+            return JSONResponse(
+                {'error': 'unavailable'},
+                status_code=HTTPStatus.SERVICE_UNAVAILABLE,
+            )
         return JSONResponse({'vms': self._vms})
 
     async def _control(self, req: Request) -> Response:
--- a/wagtailfork/tests/naive_entry.py
+++ b/wagtailfork/tests/naive_entry.py
@@ -26,5 +26,5 @@
 
 
 if __name__ == '__main__':
-    Register.claim = _claim_here  # type: ignore[method-assign]
+    Register.claim = _claim_here  # type: ignore[assignment,method-assign]
     main()
--- a/wagtailfork/tests/test_whole_path.py
+++ b/wagtailfork/tests/test_whole_path.py
@@ -119,7 +119,7 @@
                 stdout=subprocess.PIPE,
             )
             printed, _errors = await proc.communicate()
-            served = {}
+            served: dict[str, int] = {}
             for row in json.loads(printed):
                 name = row['backend']
                 served[name] = served.get(name, 0) + row['requests']
--- a/wagtailfork/traffic/ledger.py
+++ b/wagtailfork/traffic/ledger.py
@@ -10,13 +10,17 @@
 from ..control.log_client import TRAFFIC_STREAM, LogClient
 from ..core.errors import WagtailforkError
 from ..core.logs import log_fault
-from ..core.structure import to_plain
+from ..core.structure import render_plain
 
 _MAX_PENDING: Final = 1000  # summaries kept through an outage of the log
 
 _logger = logging.getLogger(__name__)
 
 
+def _now_ms() -> int:
+    return round(time.time() * 1000)
+
+
 @attrs.frozen(kw_only=True)
 class TrafficKey:
     """Name whose traffic went where and how it ended."""
@@ -72,7 +76,7 @@
     _rows: dict[TrafficKey, TrafficRow] = attrs.field(factory=dict)
     _pending: list[TrafficSummary] = attrs.field(factory=list)
     _sequence: int = 0
-    _since_ms: int = attrs.field(factory=lambda: _now_ms())
+    _since_ms: int = attrs.field(factory=_now_ms)
     dropped: int = 0
 
     def add(self, served: Served) -> None:
@@ -96,7 +100,7 @@
         """Append what has gathered; keep what the log does not take."""
         self._cut()
         while self._pending:
-            body: Any = to_plain(self._pending[0])
+            body: Any = render_plain(self._pending[0])
             try:
                 await self._client.append(TRAFFIC_STREAM, body)
             except WagtailforkError as exc:
@@ -123,7 +127,3 @@
         if len(self._pending) > _MAX_PENDING:
             self._pending.pop(0)
             self.dropped += 1
-
-
-def _now_ms() -> int:
-    return round(time.time() * 1000)
--- a/wagtailfork/traffic/report.py
+++ b/wagtailfork/traffic/report.py
@@ -8,7 +8,7 @@
 from ..control.log_client import TRAFFIC_STREAM, LogClient
 from ..core.errors import WagtailforkError
 from ..core.results import ResultCode
-from ..core.structure import from_plain
+from ..core.structure import parse_plain
 from .ledger import TrafficKey, TrafficRow, TrafficSummary
 
 
@@ -36,29 +36,34 @@
     seen: set[tuple[str, int]] = set()
     sums: dict[TrafficKey, TrafficRow] = {}
     for record in records:
-        try:
-            summary = from_plain(
-                record,
-                TrafficSummary,
-                ResultCode.record_malformed,
-            )
-        except WagtailforkError:
+        summary = _parse(record)
+        if summary is None or not bounds.holds(summary):
             continue
         ident = (summary.incarnation, summary.sequence)
-        if ident in seen or not bounds.holds(summary):
+        if ident in seen:
             continue
         seen.add(ident)
-        for row in summary.rows:
-            _add_row(sums, row)
+        _add_rows(sums, summary.rows)
     return sums
 
 
-def _add_row(sums: dict[TrafficKey, TrafficRow], row: TrafficRow) -> None:
-    total = sums.setdefault(row.key, TrafficRow(key=row.key))
-    total.requests += row.requests
-    total.bytes_in += row.bytes_in
-    total.bytes_out += row.bytes_out
-    total.time_ms += row.time_ms
+def _parse(record: Any) -> TrafficSummary | None:
+    try:
+        return parse_plain(record, TrafficSummary, ResultCode.record_malformed)
+    except WagtailforkError:
+        return None
+
+
+def _add_rows(
+    sums: dict[TrafficKey, TrafficRow],
+    rows: list[TrafficRow],
+) -> None:
+    for row in rows:
+        total = sums.setdefault(row.key, TrafficRow(key=row.key))
+        total.requests += row.requests
+        total.bytes_in += row.bytes_in
+        total.bytes_out += row.bytes_out
+        total.time_ms += row.time_ms
 
 
 async def read_report(
