--- a/wagtailfork/cli/main.py
+++ b/wagtailfork/cli/main.py
@@ -7,6 +7,7 @@
 
 from .. import __version__
 from ..core.errors import WagtailforkError
+from .bench import bench
 from .dev import dev
 from .load import load_command
 from .operator import (
@@ -42,6 +43,7 @@
 
 
 _COMMANDS: Final = (
+    bench,
     dev,
     dump_command,
     entry,
--- a/wagtailfork/control/tests/test_fold.py
+++ b/wagtailfork/control/tests/test_fold.py
@@ -177,6 +177,13 @@
         reader.push(at(5, {'id': 'p', 'kind': 'ticket', 'body': {}}))
         self.assertIsNone(reader.state)
 
+    def test_snapshot_before_a_gap_is_not_used(self) -> None:
+        """Stay without a state when records after the snapshot are gone."""
+        reader = LogReader()
+        body = snapshot_body(ControlState(offset=2))
+        reader.push(at(5, {'id': 'q', 'kind': 'snapshot', 'body': body}))
+        self.assertIsNone(reader.state)
+
     def test_old_snapshot_takes_nobody_back(self) -> None:
         """Ignore a snapshot of the past, read after newer tickets."""
         old = snapshot_body(ControlState())
--- a/wagtailfork/peers/messages.py
+++ b/wagtailfork/peers/messages.py
@@ -128,6 +128,49 @@
     state: Any = None
 
 
+@attrs.frozen(kw_only=True)
+class SlotWant:
+    """Ask a service's dealer for slots; ``waited_ms`` is the oldest wait."""
+
+    service: str
+    count: int
+    waited_ms: float
+
+
+@attrs.frozen(kw_only=True)
+class SlotGrant:
+    """Lend slots, one backend server's name for each."""
+
+    service: str
+    backends: list[str]
+    sequence: int
+
+
+@attrs.frozen(kw_only=True)
+class SlotRecall:
+    """Ask a holder for idle slots, since another VM waits for some."""
+
+    service: str
+    waited_ms: float
+
+
+@attrs.frozen(kw_only=True)
+class SlotReturn:
+    """Give slots back to the dealer."""
+
+    service: str
+    backends: list[str]
+
+
+@attrs.frozen(kw_only=True)
+class SlotsHeld:
+    """Tell the dealer all slots held, as of the last grant received."""
+
+    service: str
+    backends: list[str]
+    sequence: int
+
+
 Message = (
     Hello
     | HelloReply
@@ -142,4 +185,9 @@
     | Absolve
     | StateRequest
     | StateReply
+    | SlotWant
+    | SlotGrant
+    | SlotRecall
+    | SlotReturn
+    | SlotsHeld
 )
--- a/wagtailfork/routing/admission.py
+++ b/wagtailfork/routing/admission.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -13,6 +14,7 @@
 from .fairness import FairQueue
 from .policies import LeastInFlight, Policy, choose
 from .pool import Pool
+from .share import SlotShare
 
 _SERVICE_TIME_WEIGHT: Final = 0.05
 
@@ -32,6 +34,7 @@
 class _Waiter:
     demand: Demand
     fut: asyncio.Future[Endpoint]
+    since: float
 
 
 @attrs.define
@@ -47,6 +50,8 @@
     _pool: Pool
     _queue_limit: int
     _policy: Policy = attrs.field(factory=LeastInFlight)
+    share: SlotShare | None = None
+    _clock: Callable[[], float] = time.monotonic
     _rng: random.Random = attrs.field(factory=random.Random)
     _lines: dict[str, _Line] = attrs.field(factory=dict)
     refusals: int = 0
@@ -68,25 +73,31 @@
             if endpoint is not None:
                 return endpoint
         self._check_wait(line, allowed, demand)
-        waiter = _Waiter(demand, asyncio.get_running_loop().create_future())
+        waiter = _Waiter(
+            demand,
+            asyncio.get_running_loop().create_future(),
+            self._clock(),
+        )
         self._make_room(line, demand)
         line.queue.push(demand.customer, demand.weight, waiter)
+        self._want(demand.service, line)
         return await self._wait(line, waiter)
 
     def release(self, endpoint: Endpoint, took_s: float) -> None:
         """Give a slot back after ``took_s`` seconds and serve who waits."""
         endpoint.ended()
-        line = self._lines.get(endpoint.backend.service)
-        if line is None:
-            return
+        service = endpoint.backend.service
+        line = self._lines.setdefault(service, _Line())
         moved = took_s - line.service_time_s
         line.service_time_s += moved * _SERVICE_TIME_WEIGHT
-        self._serve(line)
+        if self.share is not None:
+            self.share.on_release(endpoint, _head_since(line))
+        self._serve(service, line)
 
     def sweep(self) -> None:
         """Serve waiting requests whose endpoints came back by themselves."""
-        for line in self._lines.values():
-            self._serve(line)
+        for service, line in self._lines.items():
+            self._serve(service, line)
 
     def _allowed(self, demand: Demand) -> list[Endpoint]:
         allowed = self._pool.allowed(demand.customer, demand.service)
@@ -120,11 +131,11 @@
         allowed: list[Endpoint],
         demand: Demand,
     ) -> None:
-        slots = sum(each.allowance() for each in allowed)
+        slots = sum(_capacity(each) for each in allowed)
         share = line.queue.backlog(demand.customer) + 1
         ahead = min(len(line.queue), share * max(1, line.queue.customers()))
         wait_s = ahead * line.service_time_s / max(1, slots)
-        if time.monotonic() + wait_s > demand.deadline:
+        if self._clock() + wait_s > demand.deadline:
             self.refusals += 1
             raise WagtailforkError(ResultCode.overloaded, demand.service)
 
@@ -143,7 +154,7 @@
             )
 
     async def _wait(self, line: _Line, waiter: _Waiter) -> Endpoint:
-        limit = waiter.demand.deadline - time.monotonic()
+        limit = waiter.demand.deadline - self._clock()
         taken = False
         try:
             async with asyncio.timeout(limit):
@@ -160,11 +171,24 @@
             if not taken:
                 _return_slot(waiter)
 
-    def _serve(self, line: _Line) -> None:
+    def serve(self, service: str) -> None:
+        """Serve the waiting requests of one service after a grant."""
+        line = self._lines.get(service)
+        if line is not None:
+            self._serve(service, line)
+
+    def _serve(self, service: str, line: _Line) -> None:
         while len(line.queue):
             waiter = line.queue.pop_first(self._try_serve)
             if waiter is None:
-                return
+                break
+        self._want(service, line)
+
+    def _want(self, service: str, line: _Line) -> None:
+        if self.share is None:
+            return
+        since = _head_since(line)
+        self.share.want(service, len(line.queue), since or 0)
 
     def _try_serve(self, waiter: _Waiter) -> bool:
         if waiter.fut.done():
@@ -178,9 +202,21 @@
         return True
 
 
+def _head_since(line: _Line) -> float | None:
+    heads = [waiter.since for waiter in line.queue.heads()]
+    return min(heads, default=None)
+
+
 def _return_slot(waiter: _Waiter) -> None:
     # A slot may be assigned in the very step that ends the wait.
     fut = waiter.fut
     if not fut.done() or fut.cancelled() or fut.exception() is not None:
         return
     fut.result().ended()
+
+
+def _capacity(endpoint: Endpoint) -> int:
+    # Lent slots follow demand, so all of an endpoint's may come here.
+    if endpoint.held is None:
+        return endpoint.allowance()
+    return endpoint.backend.slots
--- /dev/null
+++ b/wagtailfork/routing/dealer.py
@@ -0,0 +1,182 @@
+"""The dealer of a service's slots: lends each to one entry VM at a time.
+
+A dealer is chosen for each service by hashing over the live entry VMs of a
+region. What it knows is soft state: a new dealer learns it from the holders,
+and a slot lent twice meanwhile is caught by the backend server's shed.
+"""
+
+import collections
+import hashlib
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+import attrs
+
+from ..peers.messages import (
+    Message,
+    SlotGrant,
+    SlotRecall,
+    SlotReturn,
+    SlotsHeld,
+    SlotWant,
+)
+
+LEARNING_S: Final = 1.5  # a new dealer first hears what is held
+RECALL_EVERY_S: Final = 0.02
+CONTENTION_S: Final = 0.05  # how long one unmet want keeps slots from parking
+
+Outgoing = list[tuple[str, Message]]
+
+
+def dealer_of(service: str, members: Iterable[str]) -> str:
+    """Choose a service's dealer by rendezvous hashing.
+
+    >>> dealer_of('stockd', ['a', 'b']) in {'a', 'b'}
+    True
+    """
+    return max(members, key=lambda name: _weight(service, name))
+
+
+def _weight(service: str, name: str) -> bytes:
+    return hashlib.blake2b(f'{service}/{name}'.encode()).digest()
+
+
+@attrs.define
+class _Want:
+    count: int
+    since: float
+
+
+@attrs.define
+class Dealer:
+    """Lend the slots of one service's endpoints.
+
+    >>> dealer = Dealer('stockd', learning_until=0)
+    >>> dealer.set_slots({'stockd.1': 1}, now=0)
+    []
+    >>> want = SlotWant(service='stockd', count=1, waited_ms=0)
+    >>> dealer.on_want('vm-a', want, now=1)[0][1].backends
+    ['stockd.1']
+    """
+
+    service: str
+    learning_until: float
+    _slots: dict[str, int] = attrs.field(factory=dict)
+    _held: dict[str, collections.Counter[str]] = attrs.field(factory=dict)
+    _wants: dict[str, _Want] = attrs.field(factory=dict)
+    _sequence: dict[str, int] = attrs.field(factory=dict)
+    _recalled_at: float = float('-inf')
+    _contended_until: float = float('-inf')
+
+    def set_slots(self, slots: Mapping[str, int], now: float) -> Outgoing:
+        """Take the endpoints that may be used and their slots."""
+        self._slots = dict(slots)
+        return self._serve(now)
+
+    def set_members(self, members: Iterable[str], now: float) -> Outgoing:
+        """Take the live entry VMs; what the others held is free again."""
+        live = set(members)
+        for gone in set(self._held) - live:
+            self._held.pop(gone)
+        for gone in set(self._wants) - live:
+            self._wants.pop(gone)
+        for name in live:
+            self._held.setdefault(name, collections.Counter())
+        return self._serve(now)
+
+    def on_want(self, holder: str, want: SlotWant, now: float) -> Outgoing:
+        """Take how many slots a VM wants; zero withdraws the want."""
+        self._held.setdefault(holder, collections.Counter())
+        self._wants.pop(holder, None)
+        if want.count:
+            since = now - want.waited_ms / 1000
+            self._wants[holder] = _Want(want.count, since)
+        return self._serve(now)
+
+    def on_return(self, holder: str, back: SlotReturn, now: float) -> Outgoing:
+        """Take slots back."""
+        held = self._held.setdefault(holder, collections.Counter())
+        held.subtract(back.backends)
+        self._held[holder] = +held
+        return self._serve(now)
+
+    def on_held(self, holder: str, told: SlotsHeld, now: float) -> Outgoing:
+        """Take a holder's own count, unless a grant is on its way to it."""
+        known = self._sequence.get(holder)
+        if known is not None and told.sequence < known:
+            return []
+        self._sequence[holder] = told.sequence
+        self._held[holder] = collections.Counter(told.backends)
+        return self._serve(now)
+
+    def _free(self) -> collections.Counter[str]:
+        free = collections.Counter(self._slots)
+        for held in self._held.values():
+            free.subtract(held)
+        return +free
+
+    def _serve(self, now: float) -> Outgoing:
+        if now < self.learning_until:
+            return []
+        free = self._free()
+        grants: dict[str, list[str]] = {}
+        while free and self._wants:
+            holder = min(self._wants, key=self._waiting_since)
+            self._lend(holder, free, grants)
+            want = self._wants[holder]
+            want.count -= 1
+            if not want.count:
+                self._wants.pop(holder)
+        if self._wants:
+            self._contended_until = now + CONTENTION_S
+        while free and self._held and now >= self._contended_until:
+            # Idle slots are parked where the fewest are, ready for use.
+            holder = min(self._held, key=self._held_count)
+            self._lend(holder, free, grants)
+        sent = [self._grant(holder, names) for holder, names in grants.items()]
+        return sent + self._recall(now)
+
+    def _lend(
+        self,
+        holder: str,
+        free: collections.Counter[str],
+        grants: dict[str, list[str]],
+    ) -> None:
+        # The endpoint with the most free slots is the least loaded one.
+        name = max(free, key=lambda each: free[each] / self._slots[each])
+        free[name] -= 1
+        if not free[name]:
+            free.pop(name)
+        self._held[holder][name] += 1
+        grants.setdefault(holder, []).append(name)
+
+    def _grant(self, holder: str, names: list[str]) -> tuple[str, Message]:
+        sequence = self._sequence.get(holder, 0) + 1
+        self._sequence[holder] = sequence
+        grant = SlotGrant(
+            service=self.service,
+            backends=names,
+            sequence=sequence,
+        )
+        return holder, grant
+
+    def _recall(self, now: float) -> Outgoing:
+        if not self._wants or now - self._recalled_at < RECALL_EVERY_S:
+            return []
+        self._recalled_at = now
+        since = min(want.since for want in self._wants.values())
+        recall = SlotRecall(
+            service=self.service,
+            waited_ms=(now - since) * 1000,
+        )
+        return [(name, recall) for name in self._held]
+
+    def tick(self, now: float) -> Outgoing:
+        """Park idle slots once nothing has waited for some time."""
+        return self._serve(now)
+
+    def _waiting_since(self, holder: str) -> float:
+        return self._wants[holder].since
+
+    def _held_count(self, holder: str) -> int:
+        return self._held[holder].total()
--- a/wagtailfork/routing/endpoint.py
+++ b/wagtailfork/routing/endpoint.py
@@ -34,6 +34,7 @@
     backend: Backend
     state: str = 'cold'
     in_flight: int = 0
+    held: int | None = None  # slots lent to this VM; None: not lent at all
     answers: int = 0
     failures_in_row: int = 0
     ejections: int = 0
@@ -48,10 +49,11 @@
 
     def allowance(self) -> int:
         """Give how many requests this VM may have in flight here."""
+        slots = self.backend.slots if self.held is None else self.held
         if self.state == 'warm':
-            return self.backend.slots
+            return slots
         if self.state == 'cold':
-            return min(self.backend.slots, 1 + self.answers // 2)
+            return min(slots, 1 + self.answers // 2)
         return 0
 
     def is_free(self) -> bool:
--- a/wagtailfork/routing/fairness.py
+++ b/wagtailfork/routing/fairness.py
@@ -82,6 +82,10 @@
         self._after_removal(customer, lane)
         return item
 
+    def heads(self) -> list[Item]:
+        """Give the item of each customer that would be handed out first."""
+        return [lane.waiting[0] for lane in self._lanes.values()]
+
     def discard(self, customer: str, item: Item) -> bool:
         """Take back an item that no longer waits."""
         lane = self._lanes.get(customer)
--- a/wagtailfork/routing/pool.py
+++ b/wagtailfork/routing/pool.py
@@ -1,7 +1,7 @@
 """The endpoints of every service, kept in step with the folded state."""
 
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 import attrs
@@ -18,6 +18,8 @@
     """Hold the endpoints by service and say which may be used."""
 
     region: str
+    lends: bool = False  # whether the slots of this region are lent
+    _clock: Callable[[], float] = time.monotonic
     _by_name: dict[str, Endpoint] = attrs.field(factory=dict)
     _by_service: dict[str, list[Endpoint]] = attrs.field(factory=dict)
     _rules: dict[str, list[Rule]] = attrs.field(factory=dict)
@@ -43,9 +45,17 @@
 
     def on_draining(self, endpoint: Endpoint) -> None:
         """Take a backend server's own word that it leaves."""
-        endpoint.own_word_until = time.monotonic() + OWN_WORD_S
+        endpoint.own_word_until = self._clock() + OWN_WORD_S
         self._apply_draining(endpoint)
 
+    def by_name(self, name: str) -> Endpoint | None:
+        """Find one endpoint."""
+        return self._by_name.get(name)
+
+    def services(self) -> Iterable[str]:
+        """Name the services that have endpoints."""
+        return self._by_service.keys()
+
     def endpoints(self, service: str) -> list[Endpoint]:
         """Give all endpoints of a service."""
         return self._by_service.get(service, [])
@@ -81,7 +91,7 @@
         excluded: frozenset[str],
     ) -> list[Endpoint]:
         """Give the endpoints with a free slot, this region's before others."""
-        now = time.monotonic()
+        now = self._clock()
         near: list[Endpoint] = []
         far: list[Endpoint] = []
         for endpoint in endpoints:
@@ -100,13 +110,15 @@
         if endpoint is None:
             endpoint = Endpoint(name, backend)
             self._by_name[name] = endpoint
+            if self.lends and backend.region == self.region:
+                endpoint.held = 0
         endpoint.backend = backend
         self._apply_draining(endpoint)
 
     def _apply_draining(self, endpoint: Endpoint) -> None:
         backend = endpoint.backend
         leaving = backend.draining or backend.address in self._leaving
-        leaving = leaving or time.monotonic() < endpoint.own_word_until
+        leaving = leaving or self._clock() < endpoint.own_word_until
         if endpoint.state == 'gone':
             return
         if leaving and endpoint.state != 'draining':
--- a/wagtailfork/tests/test_failures.py
+++ b/wagtailfork/tests/test_failures.py
@@ -170,6 +170,21 @@
                 return is_up and {it.kind for it in replies} == {'ran'}
 
             await until(mended)
+            prefix = (await rig.directory(rig.entries[0]))[0]['key_prefix']
+
+            async def claims_pass() -> bool:
+                # The keys of one home reach it and its backup from all VMs.
+                replies = [
+                    await rig.call(
+                        entry,
+                        'POST',
+                        idempotency_key=f'{prefix}{entry.name}',
+                    )
+                    for entry in rig.entries
+                ]
+                return {reply.kind for reply in replies} == {'ran'}
+
+            await until(claims_pass)
 
 
 class CrashTest(testtools.TestCase):
@@ -289,6 +304,13 @@
                     if item['name'] == 'race'
                 )
             self.assertEqual(1, len(found))
+            await rig.log_faults(outage=True)
+            waiting = asyncio.create_task(
+                rig.submit(customer_ticket(3, 'race'), ident='again'),
+            )
+            await asyncio.sleep(1)
+            await rig.log_faults()
+            self.assertEqual(200, (await waiting)[0])
             stale = await rig.submit(customer_ticket(1, 'race'))
             self.assertEqual(5002, stale[1]['code'])
 
