Let entry VMs lend slots through dealers; reach far regions only after a wait

With lending, a region whose slots are momentarily elsewhere must not spill over the paid link, and a dealer that is frozen must not starve its holders. Ruled out: waiting for the dealer without bound (a frozen dealer is found only after peer_down_s); spilling at once (30 ms and paid volume for a wait of one or two). Conclusion: shipped as the default; lend_slots=false keeps own counts.

--- a/wagtailfork/core/settings.py
+++ b/wagtailfork/core/settings.py
@@ -56,6 +56,7 @@
         validator=attrs.validators.in_(('DEBUG', 'INFO', 'WARNING', 'ERROR')),
     )
     snapshot_every_records: int = attrs.field(default=500, validator=_POSITIVE)
+    lend_slots: bool = True
     queue_limit: int = attrs.field(default=512, validator=_POSITIVE)
 
 
--- a/wagtailfork/node/dump.py
+++ b/wagtailfork/node/dump.py
@@ -20,6 +20,7 @@
         'peers': _dump_peers(node),
         'ranges': _dump_ranges(node),
         'endpoints': _dump_endpoints(node),
+        'dealers': node.lending.dealt() if node.lending else {},
         'admission': {
             'queued': node.admission.queued(),
             'refusals': node.admission.refusals,
@@ -82,6 +83,7 @@
             'state': each.state,
             'in_flight': each.in_flight,
             'allowance': each.allowance(),
+            'held': each.held,
             'latency_ms': round(each.latency_s * 1000, 3),
         }
         for each in node.pool.every()
--- a/wagtailfork/node/entry.py
+++ b/wagtailfork/node/entry.py
@@ -31,6 +31,7 @@
 from .bootstrap import Bootstrap
 from .directory import NamedEntry
 from .handlers import handle
+from .lending import Lending
 from .membership import LIVE, ListedVm, VmListFollower, VmListing
 
 _INCARNATION_BYTES: Final = 6
@@ -100,6 +101,10 @@
             named.append(NamedEntry(vm=vm, key_prefix=prefix))
         return named
 
+    def _take_cast(self, sender: str, message: Message) -> None:
+        if self.lending is not None:
+            self.lending.receive(sender, message)
+
     async def handle_message(self, message: Message) -> Message:
         """Answer one message of a peer."""
         return await handle(message, self)
@@ -161,10 +166,19 @@
         )
 
     def _build_data_path(self) -> None:
-        self.pool = Pool(self.cfg.region)
+        self.pool = Pool(self.cfg.region, self.cfg.lend_slots)
         self.quarantine = Quarantine()
         self.upstream = Upstream()
         self.admission = Admission(self.pool, self.cfg.queue_limit)
+        self.lending: Lending | None = None
+        if self.cfg.lend_slots:
+            self.lending = Lending(
+                self.incarnation,
+                self.cfg.region,
+                self.pool,
+                self.admission,
+                self.mesh,
+            )
         self.dispatcher = Dispatcher(
             self.pool,
             self.admission,
@@ -215,6 +229,8 @@
         data.add('callers', self.caller_server.run)
         data.add('sweeper', self._sweep)
         data.add('traffic', self.ledger.run)
+        if self.lending is not None:
+            data.add('lending', self.lending.run)
         root = Supervisor('entry')
         root.add('control', control.run)
         root.add('peers', peers.run)
@@ -224,7 +240,11 @@
         return root
 
     async def _serve_peers(self) -> None:
-        await self.mesh.serve(self._peer_socket, self.handle_message)
+        await self.mesh.serve(
+            self._peer_socket,
+            self.handle_message,
+            self._take_cast,
+        )
 
     async def _open(self) -> None:
         await self.follower.wait_ready()
--- a/wagtailfork/peers/link.py
+++ b/wagtailfork/peers/link.py
@@ -50,6 +50,8 @@
         self._down_s = down_s
         self._conn: ClientConnection | None = None
         self._seq = 0
+        self._outbox: list[Message] = []
+        self._has_mail = asyncio.Event()
         self._waiting: dict[int, asyncio.Future[Message]] = {}
         self.state = _LIFECYCLE.initial
 
@@ -79,6 +81,11 @@
         finally:
             self._waiting.pop(seq, None)
 
+    def cast(self, message: Message) -> None:
+        """Send a message without waiting for a reply; it may be lost."""
+        self._outbox.append(message)
+        self._has_mail.set()
+
     async def run(self, make_heartbeat: Any) -> None:
         """Keep the link open, beating, until cancelled."""
         try:
@@ -94,6 +101,7 @@
         except (TimeoutError, websockets.WebSocketException, OSError):
             return
         reader = asyncio.create_task(self._read(conn))
+        poster = asyncio.create_task(self._post(conn))
         try:
             await self._greet()
             await self._beat(make_heartbeat)
@@ -103,6 +111,8 @@
             self._conn = None
             _LIFECYCLE.fire(self, 'lose')
             reader.cancel()
+            poster.cancel()
+            self._outbox = []
             self._fail_waiting()
             # The peer may be silent: don't wait for its closing handshake.
             conn.transport.abort()
@@ -156,6 +166,17 @@
         self._fail_waiting()
         conn.transport.abort()
 
+    async def _post(self, conn: ClientConnection) -> None:
+        while True:
+            await self._has_mail.wait()
+            self._has_mail.clear()
+            messages, self._outbox = self._outbox, []
+            try:
+                for message in messages:
+                    await conn.send(encode_frame(Frame(0, 0, message)))
+            except (websockets.WebSocketException, OSError):
+                return
+
     def _fail_waiting(self) -> None:
         for fut in self._waiting.values():
             if not fut.done():
--- a/wagtailfork/peers/mesh.py
+++ b/wagtailfork/peers/mesh.py
@@ -19,6 +19,7 @@
 from .messages import Ack, Heartbeat, Hello, Message
 
 Handler = Callable[[Message], Awaitable[Message]]
+CastHandler = Callable[[str, Message], None]  # from which incarnation
 
 _CLOSE_TIMEOUT_S: Final = 1.0
 
@@ -83,11 +84,16 @@
         replies = await asyncio.gather(*calls, return_exceptions=True)
         return sum(isinstance(reply, Ack) for reply in replies)
 
-    async def serve(self, sock: socket.socket, handler: Handler) -> None:
+    async def serve(
+        self,
+        sock: socket.socket,
+        handler: Handler,
+        on_cast: CastHandler,
+    ) -> None:
         """Answer the peers' messages until cancelled."""
 
         async def accept(conn: ServerConnection) -> None:  # noqa: WPS430
-            await self._answer(conn, handler)
+            await self._answer(conn, handler, on_cast)
 
         server = await serve(
             accept,
@@ -100,10 +106,21 @@
         async with server:
             await server.serve_forever()
 
-    async def _answer(self, conn: ServerConnection, handler: Handler) -> None:
+    async def _answer(
+        self,
+        conn: ServerConnection,
+        handler: Handler,
+        on_cast: CastHandler,
+    ) -> None:
+        sender = ''
         try:
             async for raw in conn:
                 frame = decode_frame(raw)
+                if not frame.seq:
+                    on_cast(sender, frame.message)
+                    continue
+                if isinstance(frame.message, Hello):
+                    sender = frame.message.incarnation
                 task = asyncio.create_task(self._reply(conn, frame, handler))
                 self._handling.add(task)
                 task.add_done_callback(self._handling.discard)
--- a/wagtailfork/routing/admission.py
+++ b/wagtailfork/routing/admission.py
@@ -13,9 +13,11 @@
 from .endpoint import Endpoint
 from .fairness import FairQueue
 from .policies import LeastInFlight, Policy, choose
-from .pool import Pool
+from .pool import Pool, Reach
 from .share import SlotShare
 
+OVERDRAFT_AFTER_S: Final = 0.1  # with a dealer that does not answer
+FAR_AFTER_S: Final = 0.1
 _SERVICE_TIME_WEIGHT: Final = 0.05
 
 
@@ -69,7 +71,8 @@
         allowed = self._allowed(demand)
         line = self._lines.setdefault(demand.service, _Line())
         if not len(line.queue):
-            endpoint = self._choose(allowed, demand)
+            reach = Reach(excluded=demand.excluded)
+            endpoint = self._choose(allowed, reach)
             if endpoint is not None:
                 return endpoint
         self._check_wait(line, allowed, demand)
@@ -113,18 +116,25 @@
             raise WagtailforkError(ResultCode.no_backend, demand.service)
         return usable
 
-    def _choose(
-        self,
-        allowed: list[Endpoint],
-        demand: Demand,
-    ) -> Endpoint | None:
-        free = self._pool.free(allowed, demand.excluded)
+    def _choose(self, allowed: list[Endpoint], reach: Reach) -> Endpoint | None:
+        free = self._pool.free(allowed, reach)
         if not free:
             return None
         endpoint = choose(self._policy, free, self._rng)
         endpoint.took()
         return endpoint
 
+    def _reach(self, waiter: _Waiter) -> Reach:
+        waited_s = self._clock() - waiter.since
+        is_silent = False
+        if self.share is not None and waited_s > OVERDRAFT_AFTER_S:
+            is_silent = self.share.dealer_is_silent(waiter.demand.service)
+        return Reach(
+            excluded=waiter.demand.excluded,
+            overdraft=is_silent,
+            far=waited_s > FAR_AFTER_S,
+        )
+
     def _check_wait(
         self,
         line: _Line,
@@ -195,7 +205,7 @@
             return True
         demand = waiter.demand
         allowed = self._pool.allowed(demand.customer, demand.service)
-        endpoint = self._choose(allowed or [], demand)
+        endpoint = self._choose(allowed or [], self._reach(waiter))
         if endpoint is None:
             return False
         waiter.fut.set_result(endpoint)
--- a/wagtailfork/routing/dealer.py
+++ b/wagtailfork/routing/dealer.py
@@ -21,7 +21,7 @@
     SlotWant,
 )
 
-LEARNING_S: Final = 1.5  # a new dealer first hears what is held
+LEARNING_S: Final = 0.3  # a new dealer first hears what is held
 RECALL_EVERY_S: Final = 0.02
 CONTENTION_S: Final = 0.05  # how long one unmet want keeps slots from parking
 
--- a/wagtailfork/routing/endpoint.py
+++ b/wagtailfork/routing/endpoint.py
@@ -60,6 +60,12 @@
         """Tell whether one more request may be sent now."""
         return self.in_flight < self.allowance()
 
+    def could_serve(self) -> bool:
+        """Tell whether the server may have a slot that was not lent here."""
+        if self.state not in {'cold', 'warm'}:
+            return False
+        return self.in_flight < self.backend.slots
+
     def took(self) -> None:
         """Count a request sent."""
         self.in_flight += 1
--- a/wagtailfork/routing/pool.py
+++ b/wagtailfork/routing/pool.py
@@ -13,6 +13,18 @@
 OWN_WORD_S: Final = 10.0  # how long a server's own 'draining' is believed
 
 
+_USABLE: Final = frozenset(('cold', 'warm'))
+
+
+@attrs.frozen(kw_only=True)
+class Reach:
+    """Say how far a request may go for a slot."""
+
+    excluded: frozenset[str] = frozenset()
+    overdraft: bool = False  # use slots that were not lent to this VM
+    far: bool = False  # use another region though this one has servers
+
+
 @attrs.define
 class Pool:
     """Hold the endpoints by service and say which may be used."""
@@ -88,19 +100,24 @@
     def free(
         self,
         endpoints: Iterable[Endpoint],
-        excluded: frozenset[str],
+        reach: Reach,
     ) -> list[Endpoint]:
         """Give the endpoints with a free slot, this region's before others."""
         now = self._clock()
         near: list[Endpoint] = []
         far: list[Endpoint] = []
+        has_near = False
         for endpoint in endpoints:
             endpoint.tick(now)
-            if not endpoint.is_free() or endpoint.name in excluded:
+            is_near = endpoint.backend.region == self.region
+            has_near = has_near or is_near and endpoint.state in _USABLE
+            if endpoint.name in reach.excluded:
                 continue
-            local = endpoint.backend.region == self.region
-            (near if local else far).append(endpoint)
-        return near or far
+            if endpoint.is_free() or reach.overdraft and endpoint.could_serve():
+                (near if is_near else far).append(endpoint)
+        if near or (has_near and not reach.far):
+            return near
+        return far
 
     def _update(self, name: str, backend: Backend) -> None:
         endpoint = self._by_name.get(name)
--- a/wagtailfork/routing/share.py
+++ b/wagtailfork/routing/share.py
@@ -18,6 +18,7 @@
 from .pool import Pool
 
 HEAD_START_S: Final = 0.01  # a wait must be so much longer to go first
+SILENT_DEALER_S: Final = 0.25
 WANT_EVERY_S: Final = 0.001
 _CONTENTION_S: Final = 0.05
 
@@ -38,6 +39,7 @@
     _send: Send
     _clock: Callable[[], float]
     _contended: dict[str, _Contention] = attrs.field(factory=dict)
+    _heard_at: dict[str, float] = attrs.field(factory=dict)
     _sequence: collections.Counter[str] = attrs.field(
         factory=collections.Counter,
     )
@@ -58,8 +60,14 @@
             SlotWant(service=service, count=count, waited_ms=waited_ms),
         )
 
+    def dealer_is_silent(self, service: str) -> bool:
+        """Tell whether the dealer has left a want unanswered for long."""
+        heard_at = self._heard_at.get(service, float('-inf'))
+        return self._clock() - heard_at > SILENT_DEALER_S
+
     def on_grant(self, grant: SlotGrant) -> None:
         """Take lent slots."""
+        self._heard_at[grant.service] = self._clock()
         self._sequence[grant.service] = grant.sequence
         refused = []
         for name in grant.backends:
@@ -72,6 +80,7 @@
 
     def on_recall(self, recall: SlotRecall) -> None:
         """Return idle slots, and for a while those that come free."""
+        self._heard_at[recall.service] = self._clock()
         self._contended[recall.service] = _Contention(
             recall.waited_ms / 1000,
             self._clock() + _CONTENTION_S,
