Measure capacity slopes and the added latency of the real path

Found while measuring: taking one ticket into the pool rebuilt every endpoint (now by difference), and each answer passed the server in three sends with a task of its own. Ruled out as the cause of the added latency: slot lending and admission (4 % of samples), fingerprints (not computed unless suspects exist).

--- a/wagtailfork/bench/experiment.py
+++ b/wagtailfork/bench/experiment.py
@@ -74,20 +74,23 @@
 ) -> list[Arrival]:
     """Draw Poisson arrivals with skewed shares of the entry VMs."""
     rng = random.Random(seed)
-    slots = shape.endpoints * shape.slots
-    mean_s = shape.median_ms / 1000 * MEAN_FACTOR
     weights = [1 + _SKEW * number for number in range(shape.entries)]
     arrivals: list[Arrival] = []
     now = 0.0
     for number in range(calls):
         is_rush = scenario.rush and number * 2 >= calls
         load = scenario.rush if is_rush else scenario.load
-        now += rng.expovariate(load * slots / mean_s)
+        now += rng.expovariate(load * _capacity_per_s(shape))
         vm = rng.choices(range(shape.entries), weights)[0]
         arrivals.append(Arrival(at=now, vm=vm))
     return arrivals
 
 
+def _capacity_per_s(shape: Shape) -> float:
+    mean_s = shape.median_ms / 1000 * MEAN_FACTOR
+    return shape.endpoints * shape.slots / mean_s
+
+
 def run_cell(
     shape: Shape,
     scenario: Scenario,
--- a/wagtailfork/bench/fleet.py
+++ b/wagtailfork/bench/fleet.py
@@ -109,8 +109,8 @@
             self.dealer = Dealer(SERVICE, learning_until=0)
             now = self.loop.time()
             names = [vm.name for vm in self.vms]
-            self._post(self.dealer.set_members(names, now))
-            self._post(self.dealer.set_slots(self._usable(), now))
+            self._post(self.dealer.adjust_members(names, now))
+            self._post(self.dealer.adjust_slots(self._usable(), now))
 
     def note_draining(self) -> None:
         """Tell every VM and the dealer which servers leave."""
@@ -125,7 +125,7 @@
                 vm.admission.share.return_unusable()
         if self.dealer is not None:
             now = self.loop.time()
-            self._post(self.dealer.set_slots(self._usable(), now))
+            self._post(self.dealer.adjust_slots(self._usable(), now))
 
     def tick_dealer(self) -> None:
         """Let the dealer park idle slots."""
--- a/wagtailfork/cli/bench.py
+++ b/wagtailfork/cli/bench.py
@@ -5,6 +5,7 @@
 
 import click
 
+from ..bench.capacity import measure_all
 from ..bench.experiment import run_table
 from ..bench.scenarios import BROLLYBOX, KARTOLINA
 from ..core.logs import configure_logs
@@ -60,6 +61,15 @@
         click.echo(line)
 
 
+@bench.command('capacity')
+def bench_capacity() -> None:
+    """Measure the slopes behind docs/CAPACITY.md."""
+    configure_logs('ERROR')
+    rows = [reading.plain() for reading in measure_all()]
+    for line in markdown_table(rows, ('what', 'size', 'figure', 'unit')):
+        click.echo(line)
+
+
 def markdown_table(
     rows: list[dict[str, Any]],
     columns: tuple[str, ...],
--- a/wagtailfork/cli/load.py
+++ b/wagtailfork/cli/load.py
@@ -20,6 +20,7 @@
 @click.option('--seconds', default=10.0, show_default=True)
 @click.option('--once-share', default=0.0, show_default=True)
 @click.option('--deadline-ms', default=2000, show_default=True)
+@click.option('--direct', default='', help='Backend server to compare with.')
 @click.option('--seed', default=1, show_default=True)
 def load_command(**options: object) -> None:
     """Send a load to a service and print outcomes and quantiles."""
--- a/wagtailfork/cli/roles.py
+++ b/wagtailfork/cli/roles.py
@@ -1,7 +1,8 @@
 """Commands that run one role as a process."""
 
 import asyncio
-from typing import Any
+import gc
+from typing import Any, Final
 
 import click
 
@@ -14,6 +15,10 @@
 from ..standin.vms import VmsStandin
 from .runner import on_stop_signals, run_async
 
+_GC_YOUNG: Final = 20000  # allocations between collections of the young
+_GC_MIDDLE: Final = 20
+_GC_OLD: Final = 100
+
 _ADDRESS = click.option(
     '--address',
     required=True,
@@ -39,6 +44,9 @@
 async def _run_entry(cfg: EntrySettings) -> None:
     node = EntryNode(cfg)
     on_stop_signals(node.ask_stop)
+    # What lives for good need not be searched again; the rest is short-lived.
+    gc.freeze()
+    gc.set_threshold(_GC_YOUNG, _GC_MIDDLE, _GC_OLD)
     await node.run()
 
 
--- a/wagtailfork/core/server.py
+++ b/wagtailfork/core/server.py
@@ -65,6 +65,7 @@
             http=TransportProtocol,
             log_config=None,
             access_log=False,
+            proxy_headers=False,
             lifespan='off',
             server_header=False,
             date_header=False,
--- a/wagtailfork/loadgen/generator.py
+++ b/wagtailfork/loadgen/generator.py
@@ -14,6 +14,7 @@
 _LOWEST_US: Final = 1
 _HIGHEST_US: Final = 60_000_000
 _DIGITS: Final = 3
+_HALF: Final = 0.5
 _MEDIAN: Final = 50
 _P99: Final = 99
 _P99_9: Final = 99.9
@@ -35,6 +36,7 @@
     body_bytes: int = 0
     deadline_ms: int = 2000
     seed: int = 1
+    direct: str = ''  # a backend server's address for every second request
 
 
 @attrs.define
@@ -48,18 +50,28 @@
         factory=lambda: HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS),
     )
 
-    def quantile_ms(self, percent: float) -> float:
-        """Give a quantile of the whole answers' times, milliseconds."""
-        return float(self.histogram.get_value_at_percentile(percent)) / 1000
+    direct: Any = attrs.field(
+        factory=lambda: HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS),
+    )
 
     def plain(self) -> dict[str, Any]:
         """Give the result as plain values."""
-        return {
-            'outcomes': dict(self.outcomes),
-            'p50_ms': self.quantile_ms(_MEDIAN),
-            'p99_ms': self.quantile_ms(_P99),
-            'p99_9_ms': self.quantile_ms(_P99_9),
-        }
+        through = _quantiles(self.histogram)
+        found = {'outcomes': dict(self.outcomes), **through}
+        if self.direct.total_count:
+            direct = _quantiles(self.direct)
+            found['direct'] = direct
+            found['added'] = {
+                name: round(through[name] - direct[name], 3) for name in direct
+            }
+        return found
+
+
+def _quantiles(histogram: Any) -> dict[str, float]:
+    return {
+        f'p{percent}_ms': histogram.get_value_at_percentile(percent) / 1000
+        for percent in (_MEDIAN, _P99, _P99_9)
+    }
 
 
 @attrs.define
@@ -88,12 +100,23 @@
                 return
 
     async def send(self, planned_at: float) -> None:
+        is_direct = bool(self.plan.direct) and self.rng.random() < _HALF
+        if is_direct:
+            await self._exchange_direct()
+            took_us = (time.monotonic() - planned_at) * _MICRO
+            self.result.direct.record_value(int(took_us))
+            return
         outcome = await self._exchange()
         self.result.outcomes[outcome] += 1
         if outcome.startswith('1'):
             took_us = (time.monotonic() - planned_at) * _MICRO
             self.result.histogram.record_value(int(took_us))
 
+    async def _exchange_direct(self) -> None:
+        url = f'http://{self.plan.direct}/load'
+        async with self.http.get(url) as answer:
+            await answer.read()
+
     async def _exchange(self) -> str:
         entry = self.rng.choice(self.entries)
         once = self.rng.random() < self.plan.once_share
--- a/wagtailfork/node/lending.py
+++ b/wagtailfork/node/lending.py
@@ -65,9 +65,9 @@
         for service in set(self._dealers) - set(self._pool.services()):
             self._dealers.pop(service)
         for service, dealer in self._dealers.items():
-            self._deliver(dealer.set_members(members, now))
+            self._deliver(dealer.adjust_members(members, now))
             slots = self._usable_slots(service)
-            self._deliver(dealer.set_slots(slots, now))
+            self._deliver(dealer.adjust_slots(slots, now))
         self.share.return_unusable()
 
     def dealt(self) -> dict[str, str]:
--- a/wagtailfork/peers/link.py
+++ b/wagtailfork/peers/link.py
@@ -170,7 +170,8 @@
         while True:
             await self._has_mail.wait()
             self._has_mail.clear()
-            messages, self._outbox = self._outbox, []
+            messages = self._outbox
+            self._outbox = []
             try:
                 for message in messages:
                     await conn.send(encode_frame(Frame(0, 0, message)))
--- a/wagtailfork/proxy/dispatcher.py
+++ b/wagtailfork/proxy/dispatcher.py
@@ -67,10 +67,13 @@
 
     def on_state(self, state: ControlState) -> None:
         """Take a new state of the configuration."""
+        limits = state.all_of('limit') if _differ(self._state, state) else None
         self._state = state
+        if limits is None:
+            return
         kept = self._buckets
         self._buckets = {}
-        for limit in state.all_of('limit').values():
+        for limit in limits.values():
             where = (limit.customer, limit.service)
             held = kept.get(where)
             if held is None or held[0] != limit:
@@ -368,6 +371,10 @@
 )
 
 
+def _differ(old: ControlState, new: ControlState) -> bool:
+    return old.objects is not new.objects
+
+
 def _upstream_request(
     req: CallerRequest,
     remaining_s: float,
--- a/wagtailfork/proxy/front.py
+++ b/wagtailfork/proxy/front.py
@@ -50,6 +50,7 @@
     backend: str = _NO_BACKEND
     failure_domain: str = _NO_BACKEND
     answering: bool = False
+    gone: bool = False
 
 
 @attrs.define(eq=False)
@@ -170,13 +171,14 @@
         headers = names.returned(response.headers.items())
         headers.extend(self._own_headers(call, ResultCode.ok))
         headers.append((names.BACKEND, exchange.endpoint.name))
+        chunk = exchange.first
+        if not chunk and not exchange.whole:
+            chunk = await response.content.readany()
         await _start(call, response.status, headers)
-        if exchange.first:
-            await _send_body(call, exchange.first, more=True)
-        if not exchange.whole:
-            async for chunk in response.content.iter_any():
-                await _send_body(call, chunk, more=True)
-        await _send_body(call, b'', more=False)
+        while not (exchange.whole or response.content.at_eof()):
+            await _send_body(call, chunk, more=True)
+            chunk = await response.content.readany()
+        await _send_body(call, chunk, more=False)
 
     async def _refuse(self, call: _Call, exc: WagtailforkError) -> None:
         if call.answering:
@@ -251,22 +253,27 @@
             yield chunk
 
 
-async def _unless_gone(call: _Call, work: Any) -> Any:
-    working = asyncio.ensure_future(work)
-    watching = asyncio.ensure_future(call.receive())
+async def _unless_gone(call: _Call, work: Awaitable[Any]) -> Any:
+    task = asyncio.current_task()
+    if task is None:
+        return await work
+    watching = asyncio.create_task(_cancel_when_gone(call, task))
     try:
-        await asyncio.wait(
-            (working, watching),
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        if working.done():
-            return working.result()
+        return await work
+    except asyncio.CancelledError:
+        if not call.gone:
+            raise
+        task.uncancel()
+        raise CallerGone from None
     finally:
         watching.cancel()
-        if not working.done():
-            working.cancel()
-    await asyncio.wait((working,))
-    raise CallerGone
+
+
+async def _cancel_when_gone(call: _Call, task: asyncio.Task[Any]) -> None:
+    # The body is read to its end, so only a disconnect can come now.
+    await call.receive()
+    call.gone = True
+    task.cancel()
 
 
 async def _start(
--- a/wagtailfork/routing/dealer.py
+++ b/wagtailfork/routing/dealer.py
@@ -52,7 +52,7 @@
     """Lend the slots of one service's endpoints.
 
     >>> dealer = Dealer('stockd', learning_until=0)
-    >>> dealer.set_slots({'stockd.1': 1}, now=0)
+    >>> dealer.adjust_slots({'stockd.1': 1}, now=0)
     []
     >>> want = SlotWant(service='stockd', count=1, waited_ms=0)
     >>> dealer.on_want('vm-a', want, now=1)[0][1].backends
@@ -68,12 +68,12 @@
     _recalled_at: float = float('-inf')
     _contended_until: float = float('-inf')
 
-    def set_slots(self, slots: Mapping[str, int], now: float) -> Outgoing:
+    def adjust_slots(self, slots: Mapping[str, int], now: float) -> Outgoing:
         """Take the endpoints that may be used and their slots."""
         self._slots = dict(slots)
         return self._serve(now)
 
-    def set_members(self, members: Iterable[str], now: float) -> Outgoing:
+    def adjust_members(self, members: Iterable[str], now: float) -> Outgoing:
         """Take the live entry VMs; what the others held is free again."""
         live = set(members)
         for gone in set(self._held) - live:
--- a/wagtailfork/routing/pool.py
+++ b/wagtailfork/routing/pool.py
@@ -1,13 +1,14 @@
 """The endpoints of every service, kept in step with the folded state."""
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
 import attrs
 
-from ..control.fold import ControlState
-from ..control.objects import ANY_CUSTOMER, Backend, Rule
+from ..control.fold import ControlState, StoredObject
+from ..control.objects import ANY_CUSTOMER, Backend, ControlObject, Rule
+from ..control.tickets import ObjectId
 from .endpoint import Endpoint
 
 OWN_WORD_S: Final = 10.0  # how long a server's own 'draining' is believed
@@ -25,6 +26,14 @@
     far: bool = False  # use another region though this one has servers
 
 
+def _has_slot(endpoint: Endpoint, reach: Reach) -> bool:
+    if endpoint.name in reach.excluded:
+        return False
+    if endpoint.is_free():
+        return True
+    return reach.overdraft and endpoint.could_serve()
+
+
 @attrs.define
 class Pool:
     """Hold the endpoints by service and say which may be used."""
@@ -32,6 +41,7 @@
     region: str
     lends: bool = False  # whether the slots of this region are lent
     _clock: Callable[[], float] = time.monotonic
+    _objects: Mapping[ObjectId, StoredObject] = attrs.field(factory=dict)
     _by_name: dict[str, Endpoint] = attrs.field(factory=dict)
     _by_service: dict[str, list[Endpoint]] = attrs.field(factory=dict)
     _rules: dict[str, list[Rule]] = attrs.field(factory=dict)
@@ -39,15 +49,26 @@
 
     def on_state(self, state: ControlState) -> None:
         """Take the backends and rules of a new state."""
-        backends: dict[str, Backend] = state.all_of('backend')
-        for name in set(self._by_name) - set(backends):
-            self._by_name.pop(name).fire('remove')
-        for name, backend in backends.items():
-            self._update(name, backend)
-        self._regroup()
-        self._rules = {}
-        for rule in state.all_of('rule').values():
-            self._rules.setdefault(rule.service, []).append(rule)
+        changed = [
+            ident
+            for ident, stored in state.objects.items()
+            if self._objects.get(ident) is not stored
+        ]
+        # A snapshot may leave objects out that were known before.
+        changed.extend(
+            ident for ident in self._objects if ident not in state.objects
+        )
+        self._objects = state.objects
+        for kind, name in changed:
+            if kind == 'backend':
+                self._replace(name, state.find(kind, name))
+        kinds = {ident[0] for ident in changed}
+        if 'backend' in kinds:
+            self._regroup()
+        if 'rule' in kinds:
+            self._rules = {}
+            for rule in state.all_of('rule').values():
+                self._rules.setdefault(rule.service, []).append(rule)
 
     def on_leaving(self, addresses: Iterable[str]) -> None:
         """Take the addresses that the VM list calls leaving."""
@@ -106,18 +127,23 @@
         now = self._clock()
         near: list[Endpoint] = []
         far: list[Endpoint] = []
-        has_near = False
+        usable_near = 0
         for endpoint in endpoints:
             endpoint.tick(now)
             is_near = endpoint.backend.region == self.region
-            has_near = has_near or is_near and endpoint.state in _USABLE
-            if endpoint.name in reach.excluded:
+            usable_near += is_near and endpoint.state in _USABLE
+            if not _has_slot(endpoint, reach):
                 continue
-            if endpoint.is_free() or reach.overdraft and endpoint.could_serve():
-                (near if is_near else far).append(endpoint)
-        if near or (has_near and not reach.far):
+            (near if is_near else far).append(endpoint)
+        if usable_near and not reach.far:
             return near
-        return far
+        return near or far
+
+    def _replace(self, name: str, backend: ControlObject | None) -> None:
+        if isinstance(backend, Backend):
+            self._update(name, backend)
+        elif name in self._by_name:
+            self._by_name.pop(name).fire('remove')
 
     def _update(self, name: str, backend: Backend) -> None:
         endpoint = self._by_name.get(name)
--- a/wagtailfork/routing/share.py
+++ b/wagtailfork/routing/share.py
@@ -1,6 +1,7 @@
 """The slots lent to this entry VM, and when to ask for or return some."""
 
 import collections
+import itertools
 from collections.abc import Callable, Iterable
 from typing import Final
 
@@ -88,7 +89,7 @@
         idle: list[str] = []
         for endpoint in self._pool.endpoints(recall.service):
             spare = (endpoint.held or 0) - endpoint.in_flight
-            idle.extend([endpoint.name] * spare)
+            idle.extend(itertools.repeat(endpoint.name, spare))
         self._give(recall.service, idle)
 
     def on_release(self, endpoint: Endpoint, head_since: float | None) -> None:
@@ -117,13 +118,15 @@
         for endpoint in self._pool.every():
             spare = (endpoint.held or 0) - endpoint.in_flight
             if spare > 0 and endpoint.allowance() == 0:
-                self._give(endpoint.backend.service, [endpoint.name] * spare)
+                names = list(itertools.repeat(endpoint.name, spare))
+                self._give(endpoint.backend.service, names)
 
     def report(self, service: str) -> SlotsHeld:
         """Make the message that tells a dealer all that is held."""
         names: list[str] = []
         for endpoint in self._pool.endpoints(service):
-            names.extend([endpoint.name] * (endpoint.held or 0))
+            held = endpoint.held or 0
+            names.extend(itertools.repeat(endpoint.name, held))
         return SlotsHeld(
             service=service,
             backends=names,
--- a/wagtailfork/tests/test_at_most_once.py
+++ b/wagtailfork/tests/test_at_most_once.py
@@ -54,15 +54,20 @@
             await asyncio.sleep(self.rng.random() * 0.3)
 
     async def _prefix(self) -> str:
+        while True:
+            await self._refresh_prefixes()
+            if self.prefixes:
+                return self.rng.choice(self.prefixes)
+
+    async def _refresh_prefixes(self) -> None:
         entry = self.rng.choice(self.rig.entries)
         try:
             async with asyncio.timeout(1):
                 named = await self.rig.directory(entry)
         except (OSError, TimeoutError, ValueError):
-            named = []
+            return
         fresh = [each['key_prefix'] for each in named if each['key_prefix']]
         self.prefixes = fresh or self.prefixes
-        return self.rng.choice(self.prefixes)
 
     async def _send(
         self,
--- a/wagtailfork/tests/test_failures.py
+++ b/wagtailfork/tests/test_failures.py
@@ -54,7 +54,6 @@
             before = await rig.runs()
             replies = await burst(rig)
             self.assertEqual({'ran'}, {reply.kind for reply in replies})
-            new = (await rig.runs())[len(before) :]
             after = await rig.runs()
             counted = [
                 sum(run['backend'] == index for run in after)
@@ -62,7 +61,7 @@
                 for index in range(rig.backends_wanted)
             ]
             self.assertEqual([0, 0], counted[:2])
-            self.assertEqual(CALLS, sum(counted), new)
+            self.assertEqual(CALLS, sum(counted))
 
     async def _leave_entry(self) -> None:
         async with Rig() as rig:
@@ -77,9 +76,13 @@
                 named = await rig.directory(rig.entries[1])
                 return leaver.callers not in [it['address'] for it in named]
 
-            cached = [await rig.call(leaver) for _call in range(5)]
+            cached = [
+                await rig.call(leaver, path=f'/{number}') for number in range(5)
+            ]
             await until(unnamed)
-            cached += [await rig.call(leaver) for _call in range(5)]
+            cached += [
+                await rig.call(leaver, path=f'/{number}') for number in range(5)
+            ]
             self.assertEqual({'ran'}, {reply.kind for reply in cached})
             reply = await upload
             self.assertEqual('ran', reply.kind)
@@ -150,7 +153,7 @@
             rig.log_relay.silence()
             for entry in rig.entries:
                 entry.relay.silence()
-            status, answer = await rig.submit(
+            status, _answer = await rig.submit(
                 {
                     'ticket': 2,
                     'operator': 'ana',
@@ -159,7 +162,7 @@
                     ],
                 },
             )
-            self.assertEqual(200, status, answer)
+            self.assertEqual(200, status)
 
             async def mended() -> bool:
                 replies = [
@@ -294,8 +297,8 @@
                 rig.submit(customer_ticket(2, 'race', 3), 2),
             )
             statuses = sorted(status for status, _answer in answers)
-            self.assertEqual([200, 409, 409], statuses, answers)
-            found = set()
+            self.assertEqual([200, 409, 409], statuses)
+            found: set[str] = set()
             for entry in rig.entries:
                 raw = await rig.get(f'{entry.admin}/objects')
                 found.update(
