Deal slots by customers' turns over all entry VMs

Ruled out: fewest slots held first (fair over VMs, not over customers); counting only the dealer's own grants (holders reuse slots unseen).

--- a/wagtailfork/bench/capacity.py
+++ b/wagtailfork/bench/capacity.py
@@ -230,9 +230,14 @@
             key=_SAMPLE_KEY,
             digest=_DIGEST,
         ),
-        SlotWant(service='stockd', count=1, waited_ms=1),
+        SlotWant(
+            service='stockd',
+            lanes={'kiosk': 1},
+            served={'kiosk': 3.0},
+            waited_ms=1,
+        ),
         SlotGrant(service='stockd', backends=names, sequence=9),
-        SlotRecall(service='stockd', waited_ms=1),
+        SlotRecall(service='stockd', waited_ms=1, finish={'kiosk': 1.0}),
         SlotReturn(service='stockd', backends=names),
         SlotsHeld(service='stockd', backends=names * 5, sequence=9),
     )
@@ -280,7 +285,7 @@
     dealer = Dealer('s', learning_until=0)
     dealer.adjust_slots({each.name: 4 for each in endpoints}, 0)
     dealer.adjust_members([f'vm-{number}' for number in range(15)], 0)
-    want = SlotWant(service='s', count=1, waited_ms=0)
+    want = SlotWant(service='s', lanes={'kiosk': 1}, served={}, waited_ms=0)
     return [
         Reading(
             what='choose an endpoint',
--- a/wagtailfork/bench/experiment.py
+++ b/wagtailfork/bench/experiment.py
@@ -26,9 +26,11 @@
 from .scenarios import SCENARIOS, Scenario, Shape
 from .virtual import VirtualLoop
 
+GREEDY_VMS: Final = 3  # through which the greedy customer comes
 SWEEP_S: Final = 0.05
 DRAIN_S: Final = 20.0  # virtual time for the last answers
 _SKEW: Final = 0.5  # shares of the entry VMs grow by so much from first to last
+_RUSH_FROM: Final = 0.5  # share of the calls before a rush
 _P50: Final = 0.5
 _P99: Final = 0.99
 _P99_9: Final = 0.999
@@ -64,6 +66,7 @@
 
     at: float
     vm: int
+    customer: str
 
 
 def make_arrivals(
@@ -78,14 +81,22 @@
     arrivals: list[Arrival] = []
     now = 0.0
     for number in range(calls):
-        is_rush = scenario.rush and number * 2 >= calls
-        load = scenario.rush if is_rush else scenario.load
+        load = _load_at(scenario, number / calls)
         now += rng.expovariate(load * _capacity_per_s(shape))
         vm = rng.choices(range(shape.entries), weights)[0]
-        arrivals.append(Arrival(at=now, vm=vm))
+        customer = 'quiet'
+        if rng.random() < scenario.greedy:
+            customer = 'greedy'
+            vm %= GREEDY_VMS
+        arrivals.append(Arrival(at=now, vm=vm, customer=customer))
     return arrivals
 
 
+def _load_at(scenario: Scenario, progress: float) -> float:
+    is_rush = scenario.rush and progress >= _RUSH_FROM
+    return scenario.rush if is_rush else scenario.load
+
+
 def _capacity_per_s(shape: Shape) -> float:
     mean_s = shape.median_ms / 1000 * MEAN_FACTOR
     return shape.endpoints * shape.slots / mean_s
@@ -160,7 +171,7 @@
             fleet.scenario.event(list(fleet.servers.values()))
             fleet.note_draining()
         vm = fleet.vms[arrival.vm % len(fleet.vms)]
-        serving.add(_begin(fleet, vm, serving))
+        serving.add(_begin(fleet, vm, arrival.customer, serving))
     if serving:
         await asyncio.wait(serving, timeout=DRAIN_S)
     for task in (*ticking, *serving):
@@ -170,9 +181,10 @@
 def _begin(
     fleet: Fleet,
     vm: EntryVm,
+    customer: str,
     serving: set[asyncio.Task[None]],
 ) -> asyncio.Task[None]:
-    task = asyncio.create_task(fleet.serve(vm))
+    task = asyncio.create_task(fleet.serve(vm, customer))
     task.add_done_callback(serving.discard)
     return task
 
@@ -222,6 +234,7 @@
         'p50_ms': quantile_ms(tally.waits_s, _P50),
         'p99_ms': quantile_ms(tally.waits_s, _P99),
         'p99_9_ms': quantile_ms(tally.waits_s, _P99_9),
+        'quiet_p99_ms': quantile_ms(tally.quiet_waits_s, _P99),
         'answered': round(answered / max(1, calls), 4),
         'outcomes': tally.outcomes,
         'retries': tally.retries,
--- a/wagtailfork/bench/fleet.py
+++ b/wagtailfork/bench/fleet.py
@@ -44,15 +44,21 @@
     """Count what a run of a scenario gave."""
 
     waits_s: list[float] = attrs.field(factory=list)
+    quiet_waits_s: list[float] = attrs.field(factory=list)
     outcomes: dict[str, int] = attrs.field(factory=dict)
     retries: int = 0
     messages: int = 0
     message_bytes: int = 0
     report_requests: int = 0
 
-    def count(self, outcome: str) -> None:
-        """Count one outcome."""
+    def count(self, outcome: str, customer: str, took_s: float) -> None:
+        """Count one outcome, and its time if it was an answer."""
         self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
+        if outcome != 'ok':
+            return
+        self.waits_s.append(took_s)
+        if customer == 'quiet':
+            self.quiet_waits_s.append(took_s)
 
 
 def make_state(shape: Shape) -> ControlState:
@@ -141,7 +147,7 @@
                 endpoint.reported_load = 0 if self.scenario.lies else load
                 self.tally.report_requests += 1
 
-    async def serve(self, vm: EntryVm) -> None:
+    async def serve(self, vm: EntryVm, customer: str) -> None:
         """Serve one request from its arrival to its answer."""
         arrived = self.loop.time()
         vm.budget.earn()
@@ -149,7 +155,7 @@
         excluded: frozenset[str] = frozenset()
         while True:
             demand = Demand(
-                customer='kiosk',
+                customer=customer,
                 service=SERVICE,
                 weight=1,
                 deadline=arrived + DEADLINE_S,
@@ -165,9 +171,7 @@
                 break
             self.tally.retries += 1
             excluded |= {endpoint.name}
-        self.tally.count(outcome)
-        if outcome == 'ok':
-            self.tally.waits_s.append(self.loop.time() - arrived)
+        self.tally.count(outcome, customer, self.loop.time() - arrived)
 
     async def _exchange(self, vm: EntryVm, endpoint: Endpoint) -> str:
         sent_at = self.loop.time()
--- a/wagtailfork/bench/scenarios.py
+++ b/wagtailfork/bench/scenarios.py
@@ -32,6 +32,7 @@
 
     name: str
     load: float  # share of the slots kept busy
+    greedy: float = 0  # the share of calls of one greedy customer
     rush: float = 0  # the share from the middle on, 0 for no rush
     event: Event | None = None
     lies: bool = False  # whether reports say that every server is idle
@@ -72,5 +73,6 @@
     Scenario(name='cold-start-70', load=0.7, event=_restart_two),
     Scenario(name='noisy-third-50', load=0.5, event=_slow_third),
     Scenario(name='drain-two-70', load=0.7, event=_drain_two),
+    Scenario(name='greedy-150', load=1.5, greedy=0.75),
     Scenario(name='lying-reports-70', load=0.7, lies=True),
 )
--- a/wagtailfork/cli/bench.py
+++ b/wagtailfork/cli/bench.py
@@ -17,6 +17,7 @@
     'p50_ms',
     'p99_ms',
     'p99_9_ms',
+    'quiet_p99_ms',
     'answered',
     'retries',
     'sheds',
--- a/wagtailfork/peers/messages.py
+++ b/wagtailfork/peers/messages.py
@@ -130,10 +130,15 @@
 
 @attrs.frozen(kw_only=True)
 class SlotWant:
-    """Ask a service's dealer for slots; ``waited_ms`` is the oldest wait."""
+    """Ask a service's dealer for slots; ``waited_ms`` is the oldest wait.
+
+    ``lanes`` counts the requests that wait by customer, ``served`` sums
+    those begun since the last want, each divided by its customer's weight.
+    """
 
     service: str
-    count: int
+    lanes: dict[str, int]
+    served: dict[str, float]
     waited_ms: float
 
 
@@ -148,10 +153,15 @@
 
 @attrs.frozen(kw_only=True)
 class SlotRecall:
-    """Ask a holder for idle slots, since another VM waits for some."""
+    """Ask a holder for idle slots, since another VM waits for some.
+
+    ``finish`` gives the virtual times of the customers that wait, the
+    lowest first in turn.
+    """
 
     service: str
     waited_ms: float
+    finish: dict[str, float]
 
 
 @attrs.frozen(kw_only=True)
--- a/wagtailfork/routing/admission.py
+++ b/wagtailfork/routing/admission.py
@@ -15,7 +15,7 @@
 from .fairness import FairQueue
 from .policies import LeastInFlight, Policy, choose
 from .pool import Pool, Reach
-from .share import SlotShare
+from .share import Head, SlotShare
 
 OVERDRAFT_AFTER_S: Final = 0.1  # with a dealer that does not answer
 FAR_AFTER_S: Final = 0.1
@@ -79,6 +79,7 @@
             )
             endpoint = self._choose(allowed, reach)
             if endpoint is not None:
+                self._count(demand)
                 return endpoint
         self._check_wait(line, allowed, demand)
         waiter = _Waiter(
@@ -99,7 +100,7 @@
         moved = took_s - line.service_time_s
         line.service_time_s += moved * _SERVICE_TIME_WEIGHT
         if self.share is not None:
-            self.share.on_release(endpoint, _head_since(line))
+            self.share.on_release(endpoint, _head(line))
         self._serve(service, line)
 
     def sweep(self) -> None:
@@ -208,8 +209,9 @@
     def _want(self, service: str, line: _Line) -> None:
         if self.share is None:
             return
-        since = _head_since(line)
-        self.share.want(service, len(line.queue), since or 0)
+        heads = [waiter.since for waiter in line.queue.heads()]
+        oldest = min(heads, default=0)
+        self.share.want(service, line.queue.backlogs(), oldest)
 
     def _try_serve(self, waiter: _Waiter) -> bool:
         if waiter.fut.done():
@@ -220,12 +222,20 @@
         if endpoint is None:
             return False
         waiter.fut.set_result(endpoint)
+        self._count(demand)
         return True
 
+    def _count(self, demand: Demand) -> None:
+        if self.share is not None:
+            amount = 1 / demand.weight
+            self.share.count(demand.service, demand.customer, amount)
+
 
-def _head_since(line: _Line) -> float | None:
-    heads = [waiter.since for waiter in line.queue.heads()]
-    return min(heads, default=None)
+def _head(line: _Line) -> Head | None:
+    waiter = line.queue.first()
+    if waiter is None:
+        return None
+    return Head(waiter.demand.customer, waiter.since)
 
 
 def _return_slot(waiter: _Waiter) -> None:
--- a/wagtailfork/routing/dealer.py
+++ b/wagtailfork/routing/dealer.py
@@ -20,6 +20,7 @@
     SlotsHeld,
     SlotWant,
 )
+from .turns import FairTurns
 
 LEARNING_S: Final = 0.3  # a new dealer first hears what is held
 RECALL_EVERY_S: Final = 0.02
@@ -43,7 +44,7 @@
 
 @attrs.define
 class _Want:
-    count: int
+    lanes: dict[str, int]
     since: float
 
 
@@ -54,7 +55,8 @@
     >>> dealer = Dealer('stockd', learning_until=0)
     >>> dealer.adjust_slots({'stockd.1': 1}, now=0)
     []
-    >>> want = SlotWant(service='stockd', count=1, waited_ms=0)
+    >>> want = SlotWant(
+    ...     service='stockd', lanes={'kiosk': 1}, served={}, waited_ms=0)
     >>> dealer.on_want('vm-a', want, now=1)[0][1].backends
     ['stockd.1']
     """
@@ -64,6 +66,7 @@
     _slots: dict[str, int] = attrs.field(factory=dict)
     _held: dict[str, collections.Counter[str]] = attrs.field(factory=dict)
     _wants: dict[str, _Want] = attrs.field(factory=dict)
+    _turns: FairTurns = attrs.field(factory=FairTurns)
     _sequence: dict[str, int] = attrs.field(factory=dict)
     _recalled_at: float = float('-inf')
     _contended_until: float = float('-inf')
@@ -85,12 +88,13 @@
         return self._serve(now)
 
     def on_want(self, holder: str, want: SlotWant, now: float) -> Outgoing:
-        """Take how many slots a VM wants; zero withdraws the want."""
+        """Take what waits at a VM, none of it withdrawing the want."""
         self._held.setdefault(holder, collections.Counter())
         self._wants.pop(holder, None)
-        if want.count:
+        self._turns.count(want.served)
+        if want.lanes:
             since = now - want.waited_ms / 1000
-            self._wants[holder] = _Want(want.count, since)
+            self._wants[holder] = _Want(dict(want.lanes), since)
         return self._serve(now)
 
     def on_return(self, holder: str, back: SlotReturn, now: float) -> Outgoing:
@@ -120,13 +124,9 @@
             return []
         free = self._free()
         grants: dict[str, list[str]] = {}
+        self._turns.wake(self._waiting_customers())
         while free and self._wants:
-            holder = min(self._wants, key=self._waiting_since)
-            self._lend(holder, free, grants)
-            want = self._wants[holder]
-            want.count -= 1
-            if not want.count:
-                self._wants.pop(holder)
+            self._lend(self._next_holder(), free, grants)
         if self._wants:
             self._contended_until = now + CONTENTION_S
         while free and self._held and now >= self._contended_until:
@@ -136,6 +136,25 @@
         sent = [self._grant(holder, names) for holder, names in grants.items()]
         return sent + self._recall(now)
 
+    def _next_holder(self) -> str:
+        """Choose whose turn it is and take one request off its want."""
+        customer = self._turns.first(self._waiting_customers())
+        self._turns.expect(customer)
+        asking = [
+            name for name, want in self._wants.items() if customer in want.lanes
+        ]
+        holder = min(asking, key=self._held_count)
+        lanes = self._wants[holder].lanes
+        lanes[customer] -= 1
+        if not lanes[customer]:
+            lanes.pop(customer)
+        if not lanes:
+            self._wants.pop(holder)
+        return holder
+
+    def _waiting_customers(self) -> set[str]:
+        return {name for want in self._wants.values() for name in want.lanes}
+
     def _lend(
         self,
         holder: str,
@@ -168,6 +187,7 @@
         recall = SlotRecall(
             service=self.service,
             waited_ms=(now - since) * 1000,
+            finish=self._turns.lowest(self._waiting_customers()),
         )
         return [(name, recall) for name in self._held]
 
@@ -175,8 +195,5 @@
         """Park idle slots once nothing has waited for some time."""
         return self._serve(now)
 
-    def _waiting_since(self, holder: str) -> float:
-        return self._wants[holder].since
-
     def _held_count(self, holder: str) -> int:
         return self._held[holder].total()
--- a/wagtailfork/routing/fairness.py
+++ b/wagtailfork/routing/fairness.py
@@ -2,7 +2,7 @@
 
 import collections
 from collections.abc import Callable, Iterator
-from typing import Generic, TypeVar
+from typing import Any, Generic, TypeVar
 
 import attrs
 
@@ -15,6 +15,10 @@
     finish: float = 0
 
 
+def _finish_of(lane: _Lane[Any]) -> float:
+    return lane.finish
+
+
 @attrs.define
 class FairQueue(Generic[Item]):
     """Hand out items by start-time fair queueing over customers.
@@ -82,6 +86,15 @@
         self._after_removal(customer, lane)
         return item
 
+    def first(self) -> Item | None:
+        """Give the item that is next in fair order, without taking it."""
+        lane = min(self._lanes.values(), key=_finish_of, default=None)
+        return lane.waiting[0] if lane else None
+
+    def backlogs(self) -> dict[str, int]:
+        """Count the items by customer."""
+        return {name: len(lane.waiting) for name, lane in self._lanes.items()}
+
     def heads(self) -> list[Item]:
         """Give the item of each customer that would be handed out first."""
         return [lane.waiting[0] for lane in self._lanes.values()]
--- a/wagtailfork/routing/share.py
+++ b/wagtailfork/routing/share.py
@@ -20,6 +20,7 @@
 
 HEAD_START_S: Final = 0.01  # a wait must be so much longer to go first
 SILENT_DEALER_S: Final = 0.25
+TURNS_AHEAD: Final = 4.0  # requests that a customer may be ahead by
 WANT_EVERY_S: Final = 0.001
 _CONTENTION_S: Final = 0.05
 
@@ -29,9 +30,30 @@
 @attrs.define
 class _Contention:
     waited_s: float  # by the longest wait at another VM
+    finish: dict[str, float]  # virtual times of the customers that wait
     until: float
 
 
+@attrs.frozen
+class Head:
+    """Describe the request that waits first."""
+
+    customer: str
+    since: float
+
+
+def _goes_first(contention: _Contention, head: Head, now: float) -> bool:
+    """Tell whether the requests of other VMs go before ``head``."""
+    finish = contention.finish
+    lowest = min(finish.values(), default=0)
+    own = finish.get(head.customer)
+    if own is None or own > lowest + TURNS_AHEAD:
+        return True
+    # Moving a slot leaves it idle for two hops.
+    waited_s = now - head.since
+    return waited_s + HEAD_START_S < contention.waited_s
+
+
 @attrs.define
 class SlotShare:
     """Hold the lent slots of every service."""
@@ -44,22 +66,30 @@
     _sequence: collections.Counter[str] = attrs.field(
         factory=collections.Counter,
     )
-    _wanted: dict[str, tuple[int, float]] = attrs.field(factory=dict)
+    _wanted: dict[str, tuple[bool, float]] = attrs.field(factory=dict)
+    _served: dict[str, dict[str, float]] = attrs.field(factory=dict)
 
-    def want(self, service: str, count: int, since: float) -> None:
-        """Tell the dealer how many requests wait, and since when."""
+    def want(self, service: str, lanes: dict[str, int], since: float) -> None:
+        """Tell the dealer whose requests wait, and since when."""
         now = self._clock()
-        sent, sent_at = self._wanted.get(service, (0, float('-inf')))
-        if count == sent and not count:
+        had_sent, sent_at = self._wanted.get(service, (False, float('-inf')))
+        if not lanes and not had_sent:
             return
-        if count and now - sent_at < WANT_EVERY_S:
+        if lanes and now - sent_at < WANT_EVERY_S:
             return
-        self._wanted[service] = (count, now)
-        waited_ms = (now - since) * 1000 if count else 0
-        self._send(
-            service,
-            SlotWant(service=service, count=count, waited_ms=waited_ms),
+        self._wanted[service] = (bool(lanes), now)
+        want = SlotWant(
+            service=service,
+            lanes=lanes,
+            served=self._served.pop(service, {}),
+            waited_ms=(now - since) * 1000 if lanes else 0,
         )
+        self._send(service, want)
+
+    def count(self, service: str, customer: str, amount: float) -> None:
+        """Count a request begun, by its customer's weight."""
+        served = self._served.setdefault(service, {})
+        served[customer] = served.get(customer, 0) + amount
 
     def dealer_is_silent(self, service: str) -> bool:
         """Tell whether the dealer has left a want unanswered for long."""
@@ -84,6 +114,7 @@
         self._heard_at[recall.service] = self._clock()
         self._contended[recall.service] = _Contention(
             recall.waited_ms / 1000,
+            recall.finish,
             self._clock() + _CONTENTION_S,
         )
         idle: list[str] = []
@@ -92,11 +123,10 @@
             idle.extend(itertools.repeat(endpoint.name, spare))
         self._give(recall.service, idle)
 
-    def on_release(self, endpoint: Endpoint, head_since: float | None) -> None:
+    def on_release(self, endpoint: Endpoint, head: Head | None) -> None:
         """Return a slot that came free if another VM needs it more.
 
-        ``head_since`` is the time from which this VM's own first request
-        waits, None where none does.
+        ``head`` is this VM's own next request, None where none waits.
         """
         service = endpoint.backend.service
         contention = self._contended.get(service)
@@ -106,11 +136,8 @@
         if now > contention.until:
             self._contended.pop(service)
             return
-        if head_since is not None:
-            # Moving a slot leaves it idle for two hops.
-            waited_s = now - head_since
-            if waited_s + HEAD_START_S > contention.waited_s:
-                return
+        if head is not None and not _goes_first(contention, head, now):
+            return
         self._give(service, [endpoint.name])
 
     def return_unusable(self) -> None:
--- a/wagtailfork/routing/tests/test_lending.py
+++ b/wagtailfork/routing/tests/test_lending.py
@@ -23,6 +23,12 @@
 )
 
 
+def make_want(count: int) -> SlotWant:
+    """Make a want of one customer, withdrawn where the count is zero."""
+    lanes = {'kiosk': count} if count else {}
+    return SlotWant(service=SERVICE, lanes=lanes, served={}, waited_ms=1)
+
+
 class Holders:
     """Hold what the dealer lent, as naive counters."""
 
@@ -69,7 +75,7 @@
         for action, name, count in todo:
             now += 0.01
             if action == 'want':
-                want = SlotWant(service=SERVICE, count=count, waited_ms=1)
+                want = make_want(count)
                 holders.take(dealer.on_want(name, want, now))
             elif action == 'return':
                 back = holders.give_back(name, count)
@@ -100,7 +106,7 @@
         now: float,
     ) -> None:
         for name in HOLDERS:
-            want = SlotWant(service=SERVICE, count=0, waited_ms=0)
+            want = make_want(0)
             holders.take(dealer.on_want(name, want, now))
         holders.take(dealer.adjust_slots(SLOTS, now + 2 * CONTENTION_S))
         self.assertEqual(collections.Counter(SLOTS), holders.total())
@@ -109,7 +115,7 @@
         """Ignore a report sent before the last grant arrived."""
         dealer = Dealer(SERVICE, learning_until=0)
         dealer.adjust_slots({'b1': 1}, 0)
-        want = SlotWant(service=SERVICE, count=1, waited_ms=0)
+        want = make_want(1)
         self.assertEqual(1, len(dealer.on_want('vm-a', want, 0)))
         old = SlotsHeld(service=SERVICE, backends=[], sequence=0)
         dealer.on_held('vm-a', old, 0)
