--- a/wagtailfork/core/results.py
+++ b/wagtailfork/core/results.py
@@ -32,7 +32,6 @@
 
     range_unreachable = 4001
     connection_lost = 4002
-    deadline_after_dispatch = 4003
     in_progress = 4004
     key_expired = 4005
     backend_silent = 4006
@@ -92,7 +91,6 @@
     ResultCode.ran_answer_not_kept: 409,
     ResultCode.range_unreachable: 502,
     ResultCode.connection_lost: 502,
-    ResultCode.deadline_after_dispatch: 504,
     ResultCode.in_progress: 409,
     ResultCode.key_expired: 409,
     ResultCode.backend_silent: 504,
--- a/wagtailfork/tests/test_failures.py
+++ b/wagtailfork/tests/test_failures.py
@@ -8,7 +8,7 @@
 import testtools
 
 from .relay import Relay
-from .rig import HOST, Entry, Reply, Rig, until
+from .rig import FAST, HOST, Entry, Reply, Rig, until
 
 LEAVE_LIMIT_S = 5.0  # the brief: no new work after a few seconds
 CALLS = 40
@@ -190,6 +190,34 @@
             await until(claims_pass)
 
 
+class DealerTest(testtools.TestCase):
+    """Freeze the VM that deals a service's slots."""
+
+    def test_frozen_dealer_starves_nobody(self) -> None:
+        """Serve through the other VMs within the deadline meanwhile."""
+        asyncio.run(self._freeze_each())
+
+    async def _freeze_each(self) -> None:
+        # One slot in all: two VMs hold none, and the membership notices a
+        # frozen dealer only long after the deadline.
+        timing = {**FAST, 'peer_down_s': 10}
+        async with Rig(backends_wanted=1, timing=timing) as rig:
+            only = rig.backend_object(0, rig.backend_ports[0])
+            only['state']['slots'] = 1
+            ticket = {'ticket': 2, 'operator': 'ana', 'objects': [only]}
+            self.assertEqual(200, (await rig.submit(ticket))[0])
+            for frozen in rig.entries:
+                await until(rig.all_ready)
+                others = [each for each in rig.entries if each is not frozen]
+                rig.signal(frozen, signal.SIGSTOP)
+                replies = [
+                    await rig.call(entry, wagtailfork_deadline_ms='4000')
+                    for entry in others * 3
+                ]
+                rig.signal(frozen, signal.SIGCONT)
+                self.assertEqual({'ran'}, {reply.kind for reply in replies})
+
+
 class CrashTest(testtools.TestCase):
     """Send a request that crashes each backend server that runs it."""
 
