Eject no more than half of a service; prove single exchanges

Cause: several servers failing at once could all be ejected, which leaves no one to serve; strange answers, cancellation, broken answers, failing fast and limits had code but no test. Ruled out: a panic mode that uses ejected servers (half the pool stays in by construction).

--- a/wagtailfork/bench/fleet.py
+++ b/wagtailfork/bench/fleet.py
@@ -182,7 +182,7 @@
         if outcome == 'ok':
             endpoint.answered(took_s)
         elif outcome == 'error':
-            endpoint.failed(self.loop.time())
+            vm.pool.note_failure(endpoint)
         vm.admission.release(endpoint, took_s)
         return outcome
 
--- a/wagtailfork/proxy/dispatcher.py
+++ b/wagtailfork/proxy/dispatcher.py
@@ -134,7 +134,7 @@
             exchange.response.close()
         is_error = exchange.response.status >= _SERVER_ERROR
         if ending == Ending.broken or is_error:
-            exchange.endpoint.failed(time.monotonic())
+            self.pool.note_failure(exchange.endpoint)
         elif ending == Ending.whole:
             exchange.endpoint.answered(took_s)
         self.admission.release(exchange.endpoint, took_s)
@@ -278,7 +278,7 @@
         try:
             return await self.upstream.send(endpoint, sent, limit_s)
         except UpstreamError as exc:
-            endpoint.failed(time.monotonic())
+            self.pool.note_failure(endpoint)
             await self._note_failure(req, endpoint, exc.kind)
             raise WagtailforkError(
                 _FAILURE_CODES[exc.kind],
--- a/wagtailfork/routing/endpoint.py
+++ b/wagtailfork/routing/endpoint.py
@@ -84,12 +84,12 @@
             self.ejections = 0
             self.fire('warm_up')
 
-    def failed(self, now: float) -> None:
+    def failed(self, now: float, *, may_eject: bool) -> None:
         """Note a failure; several in a row eject the endpoint for a time."""
         self.failures_in_row += 1
-        if self.failures_in_row < EJECT_AFTER_FAILURES:
+        if self.failures_in_row < EJECT_AFTER_FAILURES or not may_eject:
             return
-        if self.state not in ('cold', 'warm'):  # noqa: WPS510
+        if self.state not in {'cold', 'warm'}:
             return
         pause_s = min(FIRST_EJECTION_S * 2**self.ejections, LAST_EJECTION_S)
         self.ejected_until = now + pause_s
--- a/wagtailfork/routing/pool.py
+++ b/wagtailfork/routing/pool.py
@@ -86,6 +86,15 @@
         """Find one endpoint."""
         return self._by_name.get(name)
 
+    def note_failure(self, endpoint: Endpoint) -> None:
+        """Count a failure; never eject more than half of a service."""
+        others = self.endpoints(endpoint.backend.service)
+        ejected = sum(each.state == 'ejected' for each in others)
+        endpoint.failed(
+            self._clock(),
+            may_eject=(ejected + 1) * 2 <= len(others),
+        )
+
     def services(self) -> Iterable[str]:
         """Name the services that have endpoints."""
         return self._by_service.keys()
--- a/wagtailfork/standin/backend.py
+++ b/wagtailfork/standin/backend.py
@@ -41,6 +41,7 @@
     reported_load: float = -1.0  # negative: the truth
     read_kb_per_s: int = 0  # slow reading of request bodies; 0: full speed
     drop: str = ''  # close the connection 'before', 'during' or 'after' the run
+    answer_id: str = ''  # echoed in place of the request's own
     answer_bytes: int = 0  # size of the answer's padding
 
 
@@ -258,7 +259,8 @@
         headers: dict[str, str],
         run: RunRecord,
     ) -> None:
-        extra = [(b'x-request-id', run.request_id.encode())]
+        echoed = self.behaviour.answer_id or run.request_id
+        extra = [(b'x-request-id', echoed.encode())]
         if self.behaviour.draining and not self.behaviour.health_lies:
             extra.append((b'wagtailfork-draining', b'1'))
         is_whole = run.outcome == 'ran'
--- /dev/null
+++ b/wagtailfork/tests/test_exchange.py
@@ -0,0 +1,116 @@
+"""Prove what a caller gets back, and what a backend server is told."""
+
+import asyncio
+
+import aiohttp
+import testtools
+
+from .rig import HOST, Rig, until
+from .test_failures import burst
+
+
+class ExchangeTest(testtools.TestCase):
+    """Look at single exchanges through one deployment."""
+
+    def test_exchanges(self) -> None:
+        """Check strange answers, cancellation, limits, broken answers."""
+        asyncio.run(self._exchanges())
+
+    async def _exchanges(self) -> None:
+        async with Rig(backends_wanted=2) as rig:
+            await self._check_strange_answers(rig)
+            await self._check_cancellation(rig)
+            await self._check_broken_answer(rig)
+            await self._check_fail_fast(rig)
+            await self._check_limit(rig)
+
+    async def _check_strange_answers(self, rig: Rig) -> None:
+        """Deliver no answer that names another request."""
+        for index in range(rig.backends_wanted):
+            await rig.behave(index, answer_id='of-another')
+        reply = await rig.call(rig.entries[0], x_request_id='mine')
+        self.assertEqual((4002, 'unknown'), (reply.code, reply.kind))
+        self.assertEqual('mine', reply.headers['x-request-id'])
+        for index in range(rig.backends_wanted):
+            await rig.behave(index)
+
+    async def _check_cancellation(self, rig: Rig) -> None:
+        """Tell the backend server when a caller of a GET is gone."""
+        for index in range(rig.backends_wanted):
+            await rig.behave(index, service_ms=5000)
+        calling = asyncio.create_task(
+            rig.call(rig.entries[0], x_request_id='left'),
+        )
+
+        async def outcome_is(wanted: str) -> bool:
+            found = [
+                run['outcome']
+                for run in await rig.runs()
+                if run['request_id'] == 'left'
+            ]
+            return found == [wanted]
+
+        await until(lambda: outcome_is('running'))
+        calling.cancel()
+        await until(lambda: outcome_is('cancelled'))
+        for index in range(rig.backends_wanted):
+            await rig.behave(index)
+
+    async def _check_broken_answer(self, rig: Rig) -> None:
+        """Never end an answer that broke off as if it were whole."""
+        for index in range(rig.backends_wanted):
+            await rig.behave(index, answer_bytes=50_000_000)
+        url = f'http://{rig.entries[0].callers}/s/payvend/long'
+        headers = {'wagtailfork-customer': 'kiosk'}
+        async with rig.http.get(url, headers=headers) as answer:
+            await answer.content.readexactly(100_000)
+            for port in rig.backend_ports:
+                await self._exit(rig, port)
+            broken = False
+            try:
+                await answer.read()
+            except aiohttp.ClientPayloadError:
+                broken = True
+            self.assertTrue(broken)
+        for index in range(rig.backends_wanted):
+            await rig.start_backend(index)
+        await until(lambda: self._all_run(rig))
+
+    async def _check_fail_fast(self, rig: Rig) -> None:
+        """Pass a server over that fails fast and looks idle."""
+        await rig.behave(0, fail_status=500)
+        await burst(rig, 30)
+        replies = await burst(rig, 30)
+        failed = [reply for reply in replies if reply.status != 200]
+        self.assertLess(len(failed), 10)
+        await rig.behave(0)
+
+    async def _check_limit(self, rig: Rig) -> None:
+        """Refuse what exceeds a customer's limit."""
+        state = {
+            'customer': 'clerk',
+            'service': 'payvend',
+            'calls_per_s': 0.001,
+        }
+        limit = {'kind': 'limit', 'name': 'clerk', 'state': state}
+        ticket = {'ticket': 2, 'operator': 'ana', 'objects': [limit]}
+        self.assertEqual(200, (await rig.submit(ticket))[0])
+
+        async def is_limited() -> bool:
+            reply = await rig.call(
+                rig.entries[0],
+                wagtailfork_customer='clerk',
+            )
+            return reply.code == 2014
+
+        await until(is_limited)
+
+    async def _all_run(self, rig: Rig) -> bool:
+        replies = await burst(rig, 6)
+        return {reply.kind for reply in replies} == {'ran'}
+
+    async def _exit(self, rig: Rig, port: int) -> None:
+        try:
+            await rig.post(f'{HOST}:{port}/standin/exit', {})
+        except aiohttp.ClientError:
+            return
