Tell an abandoned upload from a crash; swap ejected servers

Test first: quarantined 1, expected 0, after abandoned uploads of 200,000 of 300,000 bytes. Ruled out: the server's own 400 path (nothing was sent to callers). Cause 2: with half of a service ejected, a server that failed fast could not be ejected: 30 of 30 calls failed in one run of test_exchange after its kill step. Ruled out: the kill step itself (the servers were serving again). Now the one due first comes back in its place.

--- a/wagtailfork/proxy/dispatcher.py
+++ b/wagtailfork/proxy/dispatcher.py
@@ -44,6 +44,7 @@
     FailureKind.not_sent: ResultCode.no_backend,
     FailureKind.lost: ResultCode.connection_lost,
     FailureKind.silent: ResultCode.backend_silent,
+    FailureKind.abandoned: ResultCode.connection_lost,
 }
 
 
@@ -278,7 +279,6 @@
         try:
             return await self.upstream.send(endpoint, sent, limit_s)
         except UpstreamError as exc:
-            self.pool.note_failure(endpoint)
             await self._note_failure(req, endpoint, exc.kind)
             raise WagtailforkError(
                 _FAILURE_CODES[exc.kind],
@@ -298,6 +298,9 @@
             backend=endpoint.name,
             kind=kind.value,
         )
+        if kind == FailureKind.abandoned:
+            return
+        self.pool.note_failure(endpoint)
         if kind == FailureKind.silent:
             self.upstream.suspect(endpoint)
         if kind == FailureKind.lost:
--- a/wagtailfork/proxy/front.py
+++ b/wagtailfork/proxy/front.py
@@ -13,6 +13,7 @@
 from ..control.objects import Service
 from ..core.errors import WagtailforkError
 from ..core.results import ResultCode, http_status, result_class
+from ..routing.upstream import BodyAbandoned
 from ..traffic.ledger import Ledger, Served, TrafficKey
 from . import headers as names
 from .dispatcher import Dispatcher
@@ -33,7 +34,7 @@
 _NO_BACKEND: Final = '-'
 
 
-class CallerGone(Exception):
+class CallerGone(BodyAbandoned):
     """Report that the caller closed its connection."""
 
 
--- a/wagtailfork/routing/endpoint.py
+++ b/wagtailfork/routing/endpoint.py
@@ -84,21 +84,27 @@
             self.ejections = 0
             self.fire('warm_up')
 
-    def failed(self, now: float, *, may_eject: bool) -> None:
-        """Note a failure; several in a row eject the endpoint for a time."""
+    def failed(self) -> bool:
+        """Note a failure; tell whether there were too many in a row."""
         self.failures_in_row += 1
-        if self.failures_in_row < EJECT_AFTER_FAILURES or not may_eject:
-            return
         if self.state not in {'cold', 'warm'}:
-            return
+            return False
+        return self.failures_in_row >= EJECT_AFTER_FAILURES
+
+    def eject(self, now: float) -> None:
+        """Take the endpoint out for a time, longer with each ejection."""
         pause_s = min(FIRST_EJECTION_S * 2**self.ejections, LAST_EJECTION_S)
         self.ejected_until = now + pause_s
         self.ejections += 1
         self.answers = 0
         self.fire('eject')
 
+    def readmit(self) -> None:
+        """Let an ejected endpoint try again; one failure ejects it anew."""
+        self.failures_in_row = EJECT_AFTER_FAILURES - 1
+        self.fire('readmit')
+
     def tick(self, now: float) -> None:
         """Let an ejected endpoint try again when its pause is over."""
         if self.state == 'ejected' and now >= self.ejected_until:
-            self.failures_in_row = EJECT_AFTER_FAILURES - 1
-            self.fire('readmit')
+            self.readmit()
--- a/wagtailfork/routing/pool.py
+++ b/wagtailfork/routing/pool.py
@@ -27,6 +27,10 @@
     far_open: bool = True  # whether the link's budget allows another region
 
 
+def _due_at(endpoint: Endpoint) -> float:
+    return endpoint.ejected_until
+
+
 def _has_slot(endpoint: Endpoint, reach: Reach) -> bool:
     if endpoint.name in reach.excluded:
         return False
@@ -87,13 +91,19 @@
         return self._by_name.get(name)
 
     def note_failure(self, endpoint: Endpoint) -> None:
-        """Count a failure; never eject more than half of a service."""
+        """Count a failure; never eject more than half of a service.
+
+        Where half is out already, the one that is due first comes back.
+        """
+        if not endpoint.failed():
+            return
         others = self.endpoints(endpoint.backend.service)
-        ejected = sum(each.state == 'ejected' for each in others)
-        endpoint.failed(
-            self._clock(),
-            may_eject=(ejected + 1) * 2 <= len(others),
-        )
+        ejected = [each for each in others if each.state == 'ejected']
+        if (len(ejected) + 1) * 2 > len(others):
+            if not ejected:
+                return
+            min(ejected, key=_due_at).readmit()
+        endpoint.eject(self._clock())
 
     def services(self) -> Iterable[str]:
         """Name the services that have endpoints."""
--- a/wagtailfork/routing/tests/test_pool.py
+++ b/wagtailfork/routing/tests/test_pool.py
@@ -8,8 +8,9 @@
 
 from ...control.fold import ControlState, StoredObject
 from ...control.objects import Backend, Rule
+from ..endpoint import EJECT_AFTER_FAILURES
 from ..pool import Pool
-from .scene import NEAR, SERVICE
+from .scene import NEAR, SERVICE, Scene
 
 backends = st.dictionaries(
     st.sampled_from(('b1', 'b2', 'b3')),
@@ -52,6 +53,25 @@
             whole.on_state(state)
             self.assertEqual(view(whole), view(stepped))
 
+    def test_failing_server_changes_places(self) -> None:
+        """Regression: a healthy ejected server kept a failing one in."""
+        scene = Scene(regions=(NEAR, NEAR))
+        first, second = scene.pool.endpoints(SERVICE)
+        for endpoint in (first, second):
+            for _failure in range(EJECT_AFTER_FAILURES):
+                scene.pool.note_failure(endpoint)
+        self.assertEqual(('cold', 'ejected'), (first.state, second.state))
+        scene.loop.close()
+
+    def test_only_server_is_never_ejected(self) -> None:
+        """Keep the one server that there is."""
+        scene = Scene()
+        only = scene.pool.endpoints(SERVICE)[0]
+        for _failure in range(EJECT_AFTER_FAILURES):
+            scene.pool.note_failure(only)
+        self.assertEqual('warm', only.state)
+        scene.loop.close()
+
     def test_rules_narrow_the_servers(self) -> None:
         """Admit only named customers, to the failure domains named."""
         objects: dict[Any, StoredObject] = {}
--- a/wagtailfork/routing/upstream.py
+++ b/wagtailfork/routing/upstream.py
@@ -36,6 +36,11 @@
     not_sent = 'not_sent'
     lost = 'lost'
     silent = 'silent'
+    abandoned = 'abandoned'  # by the caller, in the middle of its body
+
+
+class BodyAbandoned(Exception):
+    """Report that the caller closed its connection within its body."""
 
 
 class UpstreamError(Exception):
@@ -67,16 +72,17 @@
 
     _chunks: AsyncIterator[bytes]
     on_progress: Callable[[float], None] | None = None
-    sent: int = 0
-    started: bool = False
+    is_abandoned: bool = False  # the caller broke off before the end
 
     async def stream(self) -> AsyncIterator[bytes]:
         """Give the chunks, noting each."""
-        self.started = True
-        async for chunk in self._chunks:
-            self._note(STALL_TIMEOUT_S)
-            self.sent += len(chunk)
-            yield chunk
+        try:
+            async for chunk in self._chunks:
+                self._note(STALL_TIMEOUT_S)
+                yield chunk
+        except BodyAbandoned:
+            self.is_abandoned = True
+            raise
         self._note(STALL_TIMEOUT_S)
 
     def _note(self, limit_s: float) -> None:
@@ -130,6 +136,12 @@
     return body.stream()
 
 
+def _kind_of_loss(body: bytes | StreamedBody) -> FailureKind:
+    if isinstance(body, StreamedBody) and body.is_abandoned:
+        return FailureKind.abandoned
+    return FailureKind.lost
+
+
 @attrs.define
 class Upstream:
     """Keep one session for each backend server's address."""
@@ -169,7 +181,7 @@
         except TimeoutError as exc:
             raise UpstreamError(FailureKind.silent, address) from exc
         except (aiohttp.ClientError, OSError) as exc:
-            raise UpstreamError(FailureKind.lost, repr(exc)) from exc
+            raise UpstreamError(_kind_of_loss(req.body), repr(exc)) from exc
 
     def suspect(self, endpoint: Endpoint) -> None:
         """Probe on a fresh connection; if it answers, retire the old ones.
--- a/wagtailfork/tests/test_exchange.py
+++ b/wagtailfork/tests/test_exchange.py
@@ -22,6 +22,7 @@
             await self._check_cancellation(rig)
             await self._check_broken_answer(rig)
             await self._check_fail_fast(rig)
+            await self._check_abandoned_uploads(rig)
             await self._check_limit(rig)
 
     async def _check_strange_answers(self, rig: Rig) -> None:
@@ -85,6 +86,29 @@
         self.assertLess(len(failed), 10)
         await rig.behave(0)
 
+    async def _check_abandoned_uploads(self, rig: Rig) -> None:
+        """Regression: uploads that callers gave up looked like crashes."""
+        for _attempt in range(4):
+            await self._abandon_upload(rig)
+        raw = await rig.dump(rig.entries[0])
+        self.assertEqual(0, raw['quarantined'])
+        reply = await rig.call(rig.entries[0], 'PUT', body=bytes(300_000))
+        self.assertEqual('ran', reply.kind)
+
+    async def _abandon_upload(self, rig: Rig) -> None:
+        port = rig.entries[0].ports[0]
+        _reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(
+            b'PUT /s/payvend/item HTTP/1.1\r\nhost: x\r\n'
+            b'wagtailfork-customer: kiosk\r\n'
+            b'content-length: 300000\r\n\r\n',
+        )
+        writer.write(bytes(200_000))
+        await writer.drain()
+        await asyncio.sleep(0.3)
+        writer.transport.abort()
+        await asyncio.sleep(0.3)
+
     async def _check_limit(self, rig: Rig) -> None:
         """Refuse what exceeds a customer's limit."""
         state = {
