Keep two ranges ready so that payments survive a VM lost in an outage

Now each VM keeps two ranges with different backups, issues keys only of one whose members answer, and lends a neighbour's prefix where it has none. Also: split the sender from the dispatcher; a shed no longer waits for a body without bound, answers are read with a limit, a fault of ours is 4008, and the log's client is replaced only when it is silent. Conclusion: payments go on if one of two backups lives.

--- a/wagtailfork/claims/keeper.py
+++ b/wagtailfork/claims/keeper.py
@@ -23,14 +23,25 @@
 _CHECK_S: Final = 0.25
 _PUBLISH_WAIT_S: Final = 5.0
 _RANGE_LIFETIME_S: Final = 60 * 60
+_RANGES_WANTED: Final = 2  # with different backups
 _ALONE_WAIT_S: Final = 2.0  # before settling for a range with no backup
 
 _logger = logging.getLogger(__name__)
 
 
+@attrs.frozen
+class _OwnRange:
+    range_id: str
+    made_at: float
+
+
 @attrs.define
 class RangeKeeper:
-    """Create ranges for this incarnation and change views through the log."""
+    """Create ranges for this incarnation and change views through the log.
+
+    Two ranges with different backups are kept ready: while the log is away
+    no view can change, and the second serves when the first's backup is lost.
+    """
 
     _register: Register
     _follower: Follower
@@ -40,17 +51,17 @@
     _region: str
     _down_s: float
     _made: int = 0
-    _range_id: str = ''
-    _range_at: float = 0
+    _own: list[_OwnRange] = attrs.field(factory=list)
     _started_at: float = attrs.field(factory=time.monotonic)
     leaving: bool = False
 
     def prefix(self) -> str | None:
-        """Give the key prefix to issue now, None while there is no range."""
-        if not self._range_id or not self._register.holds(self._range_id):
-            return None
-        slot = self._register.current_slot(self._range_id)
-        return format_prefix(self._range_id, slot)
+        """Give the key prefix to issue now, None while no range can decide."""
+        for own in self._own:
+            if self._is_usable(own.range_id):
+                slot = self._register.current_slot(own.range_id)
+                return format_prefix(own.range_id, slot)
+        return None
 
     async def run(self) -> None:
         """Check the ranges at intervals until cancelled."""
@@ -64,8 +75,8 @@
         views = dict(self._follower.state.views)
         for range_id, view in views.items():
             await self._shrink(range_id, view)
-        if not self.leaving and self._needs_range():
-            await self._make_range()
+        if not self.leaving:
+            await self._renew()
 
     async def leave(self) -> None:
         """Hand every range over to its other members."""
@@ -101,15 +112,31 @@
             return now - link.seen_at > self._down_s + link.period_s()
         return True
 
-    def _needs_range(self) -> bool:
-        view = self._follower.state.views.get(self._range_id)
-        if view is None:
-            return True
-        if time.monotonic() - self._range_at > _RANGE_LIFETIME_S:
-            return True
-        if len(view.members) > 1:
-            return any(self._is_leaving(name) for name in view.members)
-        return self._choose_backup() is not None
+    async def _renew(self) -> None:
+        oldest = time.monotonic() - _RANGE_LIFETIME_S
+        self._own = [own for own in self._own if own.made_at > oldest]
+        ready = [own for own in self._own if self._is_usable(own.range_id)]
+        views = self._follower.state.views
+        backups = {
+            name for own in ready for name in views[own.range_id].members[1:]
+        }
+        backup = self._choose_backup(backups)
+        if backup is not None and len(backups) < _RANGES_WANTED:
+            await self._make_range((self._register.incarnation, backup))
+            return
+        alone_s = time.monotonic() - self._started_at
+        if not ready and backup is None and alone_s > _ALONE_WAIT_S:
+            await self._make_range((self._register.incarnation,))
+
+    def _is_usable(self, range_id: str) -> bool:
+        view = self._follower.state.views.get(range_id)
+        if view is None or not self._register.holds(range_id):
+            return False
+        others = view.members[1:]
+        return not any(
+            self._mesh.by_incarnation(name) is None or self._is_leaving(name)
+            for name in others
+        )
 
     def _is_leaving(self, incarnation: str) -> bool:
         link = self._mesh.by_incarnation(incarnation)
@@ -117,26 +144,24 @@
             return False
         return link.seen.phase != 'serving'
 
-    async def _make_range(self) -> None:
-        backup = self._choose_backup()
-        alone_s = time.monotonic() - self._started_at
-        if backup is None and alone_s < _ALONE_WAIT_S:
-            return
+    async def _make_range(self, members: tuple[str, ...]) -> None:
         self._made += 1
-        me = self._register.incarnation
-        range_id = f'{me}-{self._made}'
-        members = (me,) if backup is None else (me, backup)
-        if await self._propose(range_id, 0, members):
-            self._range_id = range_id
-            self._range_at = time.monotonic()
-
-    def _choose_backup(self) -> str | None:
+        range_id = f'{self._register.incarnation}-{self._made}'
+        if not await self._propose(range_id, 0, members):
+            return
+        made = _OwnRange(range_id, time.monotonic())
+        # A range with a backup goes before one without.
+        place = len(self._own) if len(members) == 1 else 0
+        self._own.insert(place, made)
+
+    def _choose_backup(self, used: set[str]) -> str | None:
         links = [link for link in self._mesh.up_links() if _is_serving(link)]
         random.shuffle(links)
         links.sort(key=self._distance)
-        if not links or links[0].peer is None:
-            return None
-        return links[0].peer.incarnation
+        for link in links:
+            if link.peer is not None and link.peer.incarnation not in used:
+                return link.peer.incarnation
+        return None
 
     def _distance(self, link: PeerLink) -> int:
         peer = link.peer
--- a/wagtailfork/control/log_client.py
+++ b/wagtailfork/control/log_client.py
@@ -1,6 +1,7 @@
 """Client of the platform's append-only log service."""
 
 import asyncio
+import contextlib
 import json
 from typing import Any, Final
 
@@ -16,6 +17,7 @@
 
 CONTROL_STREAM: Final = 'control'
 TRAFFIC_STREAM: Final = 'traffic'
+_CLOSE_TIMEOUT_S: Final = 0.1
 READ_LIMIT: Final = 500  # records in one answer
 
 
@@ -86,8 +88,7 @@
             async with asyncio.timeout(limit):
                 return await self._exchange(method, path, body, limit)
         except _FAILURES as exc:
-            # A connection may be silent for good: the next call opens anew.
-            self._http = aiosonic.HTTPClient()
+            await self._reconnect()
             raise WagtailforkError(
                 ResultCode.log_unavailable,
                 repr(exc),
@@ -110,5 +111,16 @@
         )
         text = await answer.content()
         if answer.status_code != HTTP_OK:
-            raise ValueError(f'log answered {answer.status_code}')
+            raise WagtailforkError(
+                ResultCode.log_unavailable,
+                f'log answered {answer.status_code}',
+            )
         return json.loads(text)
+
+    async def _reconnect(self) -> None:
+        # A connection may be silent for good: the next call opens anew.
+        silent = self._http
+        self._http = aiosonic.HTTPClient()
+        with contextlib.suppress(*_FAILURES):
+            async with asyncio.timeout(_CLOSE_TIMEOUT_S):
+                await silent.shutdown()
--- a/wagtailfork/core/results.py
+++ b/wagtailfork/core/results.py
@@ -36,6 +36,7 @@
     key_expired = 4005
     backend_silent = 4006
     not_serving = 4007
+    internal_error = 4008
 
     ticket_malformed = 5001
     ticket_stale = 5002
--- a/wagtailfork/node/directory.py
+++ b/wagtailfork/node/directory.py
@@ -23,6 +23,17 @@
     key_prefix: str
 
 
+def lend_prefixes(entries: list[NamedEntry]) -> list[NamedEntry]:
+    """Give VMs that can't issue keys now the prefix of one that can."""
+    usable = [entry.key_prefix for entry in entries if entry.key_prefix]
+    if not usable:
+        return entries
+    return [
+        entry if entry.key_prefix else attrs.evolve(entry, key_prefix=usable[0])
+        for entry in entries
+    ]
+
+
 def rank_entries(
     entries: list[NamedEntry],
     place: Place,
--- a/wagtailfork/node/entry.py
+++ b/wagtailfork/node/entry.py
@@ -22,6 +22,7 @@
 from ..proxy.claimant import Claimant
 from ..proxy.dispatcher import Dispatcher
 from ..proxy.front import CallerFront
+from ..proxy.sender import Sender
 from ..routing.admission import Admission
 from ..routing.budget import LinkBudget
 from ..routing.pool import Pool
@@ -30,7 +31,7 @@
 from ..traffic.ledger import Ledger
 from . import web
 from .bootstrap import Bootstrap
-from .directory import NamedEntry
+from .directory import NamedEntry, lend_prefixes
 from .handlers import handle
 from .lending import Lending
 from .membership import LIVE, ListedVm, VmListFollower, VmListing
@@ -100,7 +101,7 @@
             if prefix is None or vm.state != LIVE:
                 continue
             named.append(NamedEntry(vm=vm, key_prefix=prefix))
-        return named
+        return lend_prefixes(named)
 
     def _take_cast(self, sender: str, message: Message) -> None:
         if self.lending is not None:
@@ -182,15 +183,20 @@
                 self.admission,
                 self.mesh,
             )
-        self.dispatcher = Dispatcher(
+        self.sender = Sender(
             self.pool,
             self.admission,
             self.upstream,
-            Claimant(self.register),
             self.quarantine,
             self._spread_strike,
             self._spread_absolution,
         )
+        self.dispatcher = Dispatcher(
+            self.pool,
+            self.admission,
+            Claimant(self.register),
+            self.sender,
+        )
         self.ledger = Ledger(
             self.cfg.vm,
             self.incarnation,
@@ -204,6 +210,7 @@
     def _build_servers(self) -> None:
         self.front = CallerFront(
             self.dispatcher,
+            self.sender,
             self.ledger,
             web.make_directory_app(self),
             self.cfg.timing.default_deadline_s,
--- a/wagtailfork/proxy/dispatcher.py
+++ b/wagtailfork/proxy/dispatcher.py
@@ -1,64 +1,34 @@
-"""Serve one request: claim it if it must not repeat, choose, send, retry."""
+"""Decide what happens to a request: checks, claim, queue, retries."""
 
-import logging
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Final
 
 import attrs
-from aiohttp import ClientError, ClientResponse
+from aiohttp import ClientError
 
 from ..claims.table import MAX_KEPT_BODY_BYTES
 from ..control.fold import ControlState
 from ..control.objects import Customer, Limit, Service
 from ..core.errors import WagtailforkError
-from ..core.logs import log_event
 from ..core.results import ResultCode, result_class
 from ..routing.admission import Admission, Demand
 from ..routing.budget import RetryBudget
-from ..routing.endpoint import Endpoint
 from ..routing.fairness import TokenBucket
 from ..routing.pool import Pool
-from ..routing.quarantine import Quarantine
-from ..routing.upstream import (
-    FailureKind,
-    StreamedBody,
-    Upstream,
-    UpstreamError,
-    UpstreamRequest,
-)
-from . import headers as names
 from .claimant import Claimant
 from .exchange import Ending, Exchange, Replay
-from .request import MAX_FIELD_BYTES, Body, CallerRequest
-
-_SERVER_ERROR: Final = 500
-_UNAVAILABLE: Final = 503
-
-_logger = logging.getLogger(__name__)
-
-Spread = Callable[[str, str], Awaitable[None]]  # fingerprint, backend server
-
-
-_FAILURE_CODES: Final = {
-    FailureKind.not_sent: ResultCode.no_backend,
-    FailureKind.lost: ResultCode.connection_lost,
-    FailureKind.silent: ResultCode.backend_silent,
-    FailureKind.abandoned: ResultCode.connection_lost,
-}
+from .request import CallerRequest
+from .sender import Sender
 
 
 @attrs.define
 class Dispatcher:
     """Decide and carry out what happens to each request."""
 
-    pool: Pool
-    admission: Admission
-    upstream: Upstream
+    _pool: Pool
+    _admission: Admission
     _claimant: Claimant
-    quarantine: Quarantine
-    _spread_strike: Spread
-    _spread_absolution: Callable[[str], Awaitable[None]]
+    _sender: Sender
     _state: ControlState = attrs.field(factory=ControlState)
     _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _buckets: dict[tuple[str, str], tuple[Limit, TokenBucket]] = attrs.field(
@@ -88,7 +58,7 @@
             raise WagtailforkError(ResultCode.unknown_service, req.service)
         if self._state.find('customer', req.customer) is None:
             raise WagtailforkError(ResultCode.unknown_customer, req.customer)
-        if self.pool.allowed(req.customer, req.service) is None:
+        if self._pool.allowed(req.customer, req.service) is None:
             raise WagtailforkError(ResultCode.forbidden, req.customer)
         return service
 
@@ -101,7 +71,7 @@
         if req.method in service.once_methods:
             return await self._dispatch_once(req, service)
         self._check_rate(req)
-        self._check_quarantine(req)
+        self._sender.check_quarantine(req)
         return await self._dispatch_repeatable(req, service)
 
     async def refuse(
@@ -118,28 +88,6 @@
             return refusal
         return await self._claimant.close(req, refusal)
 
-    def charge(self, exchange: Exchange, size: int) -> None:
-        """Count bytes of an exchange against the link it crosses."""
-        far_link = self.admission.far_link
-        region = exchange.endpoint.backend.region
-        if far_link is not None and region != self.pool.region:
-            far_link.charge(size, time.monotonic())
-
-    def finish(self, exchange: Exchange, ending: Ending) -> None:
-        """End an exchange whose answer was passed on, whole or not."""
-        took_s = time.monotonic() - exchange.sent_at
-        if ending == Ending.whole:
-            exchange.response.release()
-        else:
-            # Closing the connection is how the server hears a cancellation.
-            exchange.response.close()
-        is_error = exchange.response.status >= _SERVER_ERROR
-        if ending == Ending.broken or is_error:
-            self.pool.note_failure(exchange.endpoint)
-        elif ending == Ending.whole:
-            exchange.endpoint.answered(took_s)
-        self.admission.release(exchange.endpoint, took_s)
-
     async def _dispatch_repeatable(
         self,
         req: CallerRequest,
@@ -149,17 +97,17 @@
         budget = self._budget(req.service, service)
         budget.earn()
         while True:
-            endpoint = await self.admission.acquire(
+            endpoint = await self._admission.acquire(
                 self._demand(req, excluded),
             )
             try:
-                return await self._attempt(req, service, endpoint)
+                return await self._sender.attempt(req, service, endpoint)
             except WagtailforkError as exc:
                 if not self._may_retry(req, exc, budget):
                     raise
             self.retries += 1
             excluded |= {endpoint.name}
-            if len(excluded) >= len(self.pool.endpoints(req.service)):
+            if len(excluded) >= len(self._pool.endpoints(req.service)):
                 excluded = frozenset()
 
     def _may_retry(
@@ -172,7 +120,7 @@
             return False
         if time.monotonic() >= req.deadline:
             return False
-        if self.quarantine.is_refused(req.fingerprint, time.monotonic()):
+        if self._sender.is_quarantined(req):
             return False
         return budget.spend()
 
@@ -198,12 +146,12 @@
         service: Service,
     ) -> Exchange:
         self._check_rate(req)
-        self._check_quarantine(req)
+        self._sender.check_quarantine(req)
         exchange = await self._dispatch_claimed(req, service)
         try:
             await exchange.read_first(MAX_KEPT_BODY_BYTES)
         except (ClientError, OSError) as exc:
-            self.finish(exchange, Ending.broken)
+            self._sender.finish(exchange, Ending.broken)
             raise WagtailforkError(
                 ResultCode.connection_lost,
                 repr(exc),
@@ -218,9 +166,9 @@
         excluded: frozenset[str] = frozenset()
         while True:
             demand = self._demand(req, excluded)
-            endpoint = await self.admission.acquire(demand)
+            endpoint = await self._admission.acquire(demand)
             try:
-                return await self._attempt(req, service, endpoint)
+                return await self._sender.attempt(req, service, endpoint)
             except WagtailforkError as exc:
                 if not self._may_send_again(req, exc, service):
                     raise
@@ -239,99 +187,6 @@
         budget = self._budget(req.service, service)
         return req.body.is_whole and budget.spend()
 
-    async def _attempt(
-        self,
-        req: CallerRequest,
-        service: Service,
-        endpoint: Endpoint,
-    ) -> Exchange:
-        sent_at = time.monotonic()
-        try:
-            response = await self._send(req, service, endpoint)
-            await self._check_response(req, endpoint, response)
-        except BaseException:
-            took_s = time.monotonic() - sent_at
-            self.admission.release(endpoint, took_s)
-            raise
-        await self._absolve(req)
-        return Exchange(endpoint, response, sent_at)
-
-    async def _absolve(self, req: CallerRequest) -> None:
-        if not len(self.quarantine):
-            return
-        if self.quarantine.is_suspect(req.fingerprint):
-            self.quarantine.absolve(req.fingerprint)
-            await self._spread_absolution(req.fingerprint)
-
-    async def _send(
-        self,
-        req: CallerRequest,
-        service: Service,
-        endpoint: Endpoint,
-    ) -> ClientResponse:
-        remaining_s = req.deadline - time.monotonic()
-        if remaining_s <= 0:
-            raise WagtailforkError(ResultCode.deadline_passed, req.request_id)
-        limit_s = remaining_s
-        if req.method not in service.once_methods:
-            limit_s = min(remaining_s, service.first_byte_s)
-        sent = _upstream_request(req, remaining_s)
-        try:
-            return await self.upstream.send(endpoint, sent, limit_s)
-        except UpstreamError as exc:
-            await self._note_failure(req, endpoint, exc.kind)
-            raise WagtailforkError(
-                _FAILURE_CODES[exc.kind],
-                f'{endpoint.name}: {exc.detail}',
-            ) from exc
-
-    async def _note_failure(
-        self,
-        req: CallerRequest,
-        endpoint: Endpoint,
-        kind: FailureKind,
-    ) -> None:
-        log_event(
-            _logger,
-            'exchange_failed',
-            request=req.request_id,
-            backend=endpoint.name,
-            kind=kind.value,
-        )
-        if kind == FailureKind.abandoned:
-            return
-        self.pool.note_failure(endpoint)
-        if kind == FailureKind.silent:
-            self.upstream.suspect(endpoint)
-        if kind == FailureKind.lost:
-            self.upstream.retire(endpoint.backend.address)
-            fingerprint = req.fingerprint
-            now = time.monotonic()
-            self.quarantine.strike(fingerprint, endpoint.name, now)
-            # Every peer knows of the strike before the caller can send again.
-            await self._spread_strike(fingerprint, endpoint.name)
-
-    async def _check_response(
-        self,
-        req: CallerRequest,
-        endpoint: Endpoint,
-        response: ClientResponse,
-    ) -> None:
-        echoed = response.headers.get(names.REQUEST_ID, req.request_id)
-        if echoed != req.request_id:
-            response.close()
-            self.upstream.retire(endpoint.backend.address)
-            raise WagtailforkError(
-                ResultCode.connection_lost,
-                f'{endpoint.name} answered request {echoed[:MAX_FIELD_BYTES]}',
-            )
-        if names.DRAINING in response.headers:
-            self.pool.on_draining(endpoint)
-        is_shed = names.SHED in response.headers
-        if is_shed and response.status == _UNAVAILABLE:
-            await response.read()
-            raise WagtailforkError(ResultCode.backend_shed, endpoint.name)
-
     def _demand(self, req: CallerRequest, excluded: frozenset[str]) -> Demand:
         customer = self._state.find('customer', req.customer)
         weight = customer.weight if isinstance(customer, Customer) else 1
@@ -355,12 +210,6 @@
         if held is not None and not held[1].take(time.monotonic()):
             raise WagtailforkError(ResultCode.rate_limited, req.customer)
 
-    def _check_quarantine(self, req: CallerRequest) -> None:
-        fingerprint = req.fingerprint
-        if self.quarantine.is_refused(fingerprint, time.monotonic()):
-            crashed = ','.join(self.quarantine.crashed(fingerprint))
-            raise WagtailforkError(ResultCode.quarantined, crashed)
-
 
 _ALWAYS_REPEATABLE: Final = frozenset(
     (
@@ -383,35 +232,3 @@
 
 def _differ(old: ControlState, new: ControlState) -> bool:
     return old.objects is not new.objects
-
-
-def _upstream_request(
-    req: CallerRequest,
-    remaining_s: float,
-) -> UpstreamRequest:
-    headers = names.forwarded(req.headers)
-    headers = [pair for pair in headers if pair[0] != names.REQUEST_ID]
-    headers.append((names.REQUEST_ID, req.request_id))
-    if req.deadline_given or req.body.is_whole:
-        remaining_ms = max(1, int(remaining_s * 1000))
-        headers.append((names.DEADLINE_MS, str(remaining_ms)))
-    return UpstreamRequest(
-        method=req.method,
-        target=req.target,
-        headers=headers,
-        body=_outgoing(req.body),
-    )
-
-
-def _outgoing(body: Body) -> bytes | StreamedBody:
-    if body.rest is None:
-        return body.first
-    return StreamedBody(_joined(body))
-
-
-async def _joined(body: Body) -> AsyncIterator[bytes]:
-    yield body.first
-    if body.rest is None:
-        return
-    async for chunk in body.rest:
-        yield chunk
--- a/wagtailfork/proxy/exchange.py
+++ b/wagtailfork/proxy/exchange.py
@@ -1,5 +1,6 @@
 """An answer while it is passed on from a backend server to its caller."""
 
+import asyncio
 import enum
 
 import attrs
@@ -7,6 +8,7 @@
 
 from ..claims.table import Answer
 from ..routing.endpoint import Endpoint
+from ..routing.upstream import STALL_TIMEOUT_S
 
 
 class Ending(enum.StrEnum):
@@ -27,11 +29,19 @@
     first: bytes = b''  # the part of the body that is already read
     whole: bool = False  # whether ``first`` is the whole body
 
+    async def read_chunk(self) -> bytes:
+        """Read what has come of the body; empty at its end.
+
+        Raise TimeoutError when the server has gone silent within it.
+        """
+        async with asyncio.timeout(STALL_TIMEOUT_S):
+            return await self.response.content.readany()
+
     async def read_first(self, limit: int) -> None:
         """Read the body up to a little over ``limit`` bytes."""
         first = bytearray()
         while len(first) <= limit:
-            chunk = await self.response.content.readany()
+            chunk = await self.read_chunk()
             if not chunk:
                 self.whole = True
                 break
--- a/wagtailfork/proxy/front.py
+++ b/wagtailfork/proxy/front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
 from typing import Any, Final
@@ -12,6 +13,7 @@
 
 from ..control.objects import Service
 from ..core.errors import WagtailforkError
+from ..core.logs import log_fault
 from ..core.results import ResultCode, http_status, result_class
 from ..routing.upstream import BodyAbandoned
 from ..traffic.ledger import Ledger, Served, TrafficKey
@@ -25,11 +27,14 @@
     Head,
     parse_head,
 )
+from .sender import Sender
 
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 
+_logger = logging.getLogger(__name__)
+
 _CALL_PREFIX: Final = '/s/'
 _NO_BACKEND: Final = '-'
 
@@ -60,6 +65,7 @@
     """Serve callers: requests under ``/s/SERVICE/`` and the directory."""
 
     _dispatcher: Dispatcher
+    _sender: Sender
     _ledger: Ledger
     _others: ASGIApp
     _default_deadline_s: float
@@ -95,6 +101,12 @@
             await self._refuse(call, exc)
         except CallerGone:
             result = 'caller_gone'
+        except Exception as exc:
+            # Nobody knows how far the request came.
+            fault = WagtailforkError(ResultCode.internal_error, repr(exc))
+            log_fault(_logger, 'request_failed', error=repr(exc))
+            result = fault.code.name
+            await self._refuse(call, fault)
         self._ledger.add(
             Served(
                 key=TrafficKey(
@@ -168,8 +180,8 @@
             ) from exc
         finally:
             crossed = call.bytes_in + call.bytes_out + call.head_bytes
-            self._dispatcher.charge(exchange, crossed)
-            self._dispatcher.finish(exchange, ending)
+            self._sender.charge(exchange, crossed)
+            self._sender.finish(exchange, ending)
 
     async def _stream(self, call: _Call, exchange: Exchange) -> None:
         response = exchange.response
@@ -179,11 +191,11 @@
         headers.append((names.BACKEND, exchange.endpoint.name))
         chunk = exchange.first
         if not chunk and not exchange.whole:
-            chunk = await response.content.readany()
+            chunk = await exchange.read_chunk()
         await _start(call, response.status, headers)
         while not (exchange.whole or response.content.at_eof()):
             await _send_body(call, chunk, more=True)
-            chunk = await response.content.readany()
+            chunk = await exchange.read_chunk()
         await _send_body(call, chunk, more=False)
 
     async def _refuse(self, call: _Call, exc: WagtailforkError) -> None:
