--- a/wagtailfork/tests/history.py
+++ b/wagtailfork/tests/history.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from .rig import Reply
+from .rig_tools import Reply
 
 
 @attrs.frozen
--- a/wagtailfork/tests/test_exchange.py
+++ b/wagtailfork/tests/test_exchange.py
@@ -5,8 +5,9 @@
 import aiohttp
 import testtools
 
-from .rig import HOST, Rig, until
-from .test_failures import burst
+from .rig import Rig
+from .rig_tools import HOST, until
+from .scenes import burst
 
 
 class ExchangeTest(testtools.TestCase):
--- a/wagtailfork/tests/test_whole_path.py
+++ b/wagtailfork/tests/test_whole_path.py
@@ -8,7 +8,8 @@
 
 import testtools
 
-from .rig import HOST, REGION, Rig, free_port, until
+from .rig import REGION, Rig
+from .rig_tools import HOST, free_port, until
 
 
 class WholePathTest(testtools.TestCase):
