Find a grant that was lost on the way

Cause: read as a newcomer: a grant lost with its link left its sequence ahead of the holder's for ever, so the holder's reports were ignored and the slot was held by nobody. Ruled out: the link's loss being noticed (a reconnect within one check of 100 ms is not). Test first: with the old dealer the slot is never lent again; with reports believed a second after the last grant it goes to the next that waits. Conclusion: a lost message costs a slot for seconds, not for good.

--- a/wagtailfork/routing/dealer.py
+++ b/wagtailfork/routing/dealer.py
@@ -23,6 +23,7 @@
 from .turns import FairTurns
 
 LEARNING_S: Final = 0.3  # a new dealer first hears what is held
+GRANT_ARRIVES_S: Final = 1.0  # after which it counts as lost
 RECALL_EVERY_S: Final = 0.02
 CONTENTION_S: Final = 0.05  # how long one unmet want keeps slots from parking
 
@@ -68,6 +69,7 @@
     _wants: dict[str, _Want] = attrs.field(factory=dict)
     _turns: FairTurns = attrs.field(factory=FairTurns)
     _sequence: dict[str, int] = attrs.field(factory=dict)
+    _granted_at: dict[str, float] = attrs.field(factory=dict)
     _recalled_at: float = float('-inf')
     _contended_until: float = float('-inf')
 
@@ -107,7 +109,9 @@
     def on_held(self, holder: str, told: SlotsHeld, now: float) -> Outgoing:
         """Take a holder's own count, unless a grant is on its way to it."""
         known = self._sequence.get(holder)
-        if known is not None and told.sequence < known:
+        granted_at = self._granted_at.get(holder, 0)
+        is_behind = known is not None and told.sequence < known
+        if is_behind and now - granted_at < GRANT_ARRIVES_S:
             return []
         self._sequence[holder] = told.sequence
         self._held[holder] = collections.Counter(told.backends)
@@ -136,7 +140,9 @@
             # Idle slots are parked where the fewest are, ready for use.
             holder = min(self._held, key=self._held_count)
             self._lend(holder, free, grants)
-        sent = [self._grant(holder, names) for holder, names in grants.items()]
+        sent = [
+            self._grant(holder, names, now) for holder, names in grants.items()
+        ]
         return sent + self._recall(now, is_over=is_over)
 
     def _next_holder(self) -> str:
@@ -172,7 +178,13 @@
         self._held[holder][name] += 1
         grants.setdefault(holder, []).append(name)
 
-    def _grant(self, holder: str, names: list[str]) -> tuple[str, Message]:
+    def _grant(
+        self,
+        holder: str,
+        names: list[str],
+        now: float,
+    ) -> tuple[str, Message]:
+        self._granted_at[holder] = now
         sequence = self._sequence.get(holder, 0) + 1
         self._sequence[holder] = sequence
         grant = SlotGrant(
--- a/wagtailfork/routing/tests/test_lending.py
+++ b/wagtailfork/routing/tests/test_lending.py
@@ -13,7 +13,7 @@
     SlotsHeld,
     SlotWant,
 )
-from ..dealer import CONTENTION_S, Dealer, Outgoing, dealer_of
+from ..dealer import CONTENTION_S, GRANT_ARRIVES_S, Dealer, Outgoing, dealer_of
 from .scene import SERVICE
 
 SLOTS = {'b1': 4, 'b2': 4}
@@ -129,6 +129,18 @@
         grants = [it for it in sent if isinstance(it[1], SlotGrant)]
         self.assertEqual([], grants)
 
+    def test_lost_grant_is_found_by_reports(self) -> None:
+        """Regression: a grant lost on the way held its slot for ever."""
+        dealer = Dealer(SERVICE, learning_until=0)
+        dealer.adjust_slots({'b1': 1}, 0)
+        dealer.on_want('vm-a', make_want(1), 0)
+        told = SlotsHeld(service=SERVICE, backends=[], sequence=0)
+        later = 2 * GRANT_ARRIVES_S
+        dealer.on_want('vm-b', make_want(1), later)
+        sent = dealer.on_held('vm-a', told, later)
+        granted = [name for name, it in sent if isinstance(it, SlotGrant)]
+        self.assertEqual(['vm-b'], granted)
+
     def test_fewer_slots_are_recalled(self) -> None:
         """Ask for slots back when a ticket leaves an endpoint fewer."""
         dealer = Dealer(SERVICE, learning_until=0)
