Send the load generator's calls to a path that runs

Cause: its path /load is the stand-in servers' report path, so its calls ran nothing and the outage trial counted no payment's run. Ruled out: the rig's collection of run records (other tests read them). Test first: 0 runs for 241 answers; after: answers equal runs. Note: figures taken with the load generator before (CAPACITY.md, added latency under load) are of calls that a server answers without service time.

--- a/wagtailfork/loadgen/generator.py
+++ b/wagtailfork/loadgen/generator.py
@@ -19,6 +19,7 @@
 _P99: Final = 99
 _P99_9: Final = 99.9
 _MICRO: Final = 1_000_000
+_PATH: Final = '/call'
 _SUFFIX_BYTES: Final = 8
 _FAILED: Final = 'connection'
 
@@ -113,14 +114,14 @@
             self.result.histogram.record_value(int(took_us))
 
     async def _exchange_direct(self) -> None:
-        url = f'http://{self.plan.direct}/load'
+        url = f'http://{self.plan.direct}{_PATH}'
         async with self.http.get(url) as answer:
             await answer.read()
 
     async def _exchange(self) -> str:
         entry = self.rng.choice(self.entries)
         once = self.rng.random() < self.plan.once_share
-        url = f'http://{entry["address"]}/s/{self.plan.service}/load'
+        url = f'http://{entry["address"]}/s/{self.plan.service}{_PATH}'
         try:
             async with self.http.request(
                 'POST' if once else 'GET',
--- /dev/null
+++ b/wagtailfork/loadgen/tests/test_generator.py
@@ -0,0 +1,34 @@
+"""Check that the load generator's calls are real requests."""
+
+import asyncio
+
+import testtools
+
+from ...tests.rig import CUSTOMERS, Rig
+from .. import LoadPlan, run_load
+
+
+class GeneratorTest(testtools.TestCase):
+    """Send a small load through a deployment."""
+
+    def test_answers_match_runs(self) -> None:
+        """Regression: calls to the servers' report path ran nothing."""
+        asyncio.run(self._send())
+
+    async def _send(self) -> None:
+        async with Rig(backends_wanted=2) as rig:
+            plan = LoadPlan(
+                directory=rig.entries[0].callers,
+                service='payvend',
+                customers=CUSTOMERS,
+                rate=50,
+                seconds=2,
+                once_share=0.5,
+            )
+            result = await run_load(plan)
+            runs = await rig.runs()
+            self.assertGreater(len(runs), 0)
+            self.assertEqual({'1000 ran': len(runs)}, dict(result.outcomes))
+            keyed = [run['key'] for run in runs if run['key']]
+            self.assertEqual(len(keyed), len(set(keyed)))
+            self.assertGreater(len(keyed), 0)
