--- a/wagtailfork/bench/capacity.py
+++ b/wagtailfork/bench/capacity.py
@@ -4,7 +4,6 @@
 import random
 import time
 import tracemalloc
-from collections.abc import Callable
 from typing import Any, Final
 
 import attrs
@@ -14,67 +13,21 @@
 from ..control.snapshots import load_state, snapshot_body
 from ..core.structure import render_plain
 from ..node.lending import Lending
-from ..peers.codec import Frame, decode_frame, encode_frame
-from ..peers.messages import (
-    ClaimReply,
-    ClaimRequest,
-    Heartbeat,
-    HeartbeatReply,
-    Message,
-    Replicate,
-    SlotGrant,
-    SlotRecall,
-    SlotReturn,
-    SlotsHeld,
-    SlotWant,
-)
+from ..peers.messages import SlotWant
 from ..routing.admission import Admission
 from ..routing.dealer import Dealer
 from ..routing.policies import LeastInFlight, choose
 from ..routing.pool import Pool, Reach
+from .messages import measure_messages
+from .readings import MICRO, Reading, time_us
 from .virtual import VirtualLoop
 
 SIZES: Final = (1000, 4000, 14000)  # endpoints
 ENDPOINTS_PER_SERVICE: Final = 7
 SERVICE_SIZES: Final = (7, 20, 100)
 CHECKS_PER_S: Final = 10
-MICRO: Final = 1_000_000
-_REPEATS: Final = 200
 _KEYS: Final = 20000
-_SAMPLE_KEY: Final = 'kiosk/0123456789abcdef'
 _DIGEST: Final = '0123456789abcdef0123456789abcdef'
-_RANGE: Final = '0123456789ab-1'
-
-
-@attrs.frozen(kw_only=True)
-class Reading:
-    """Hold one measured figure."""
-
-    what: str
-    size: int
-    figure: float
-    unit: str
-
-    def plain(self) -> dict[str, Any]:
-        """Give the reading as a row of a table."""
-        return {
-            'what': self.what,
-            'size': self.size,
-            'figure': round(self.figure, 2),
-            'unit': self.unit,
-        }
-
-
-def time_us(act: Callable[[], object], repeats: int = _REPEATS) -> float:
-    """Give the best mean time of an action over three rounds, microseconds."""
-    best = float('inf')
-    for _round in range(3):
-        start = time.perf_counter()
-        for _repeat in range(repeats):
-            act()
-        took = time.perf_counter() - start
-        best = min(best, took / repeats)
-    return best * MICRO
 
 
 def backend_ticket(number: int, first: int, count: int) -> dict[str, Any]:
@@ -249,78 +202,6 @@
     ]
 
 
-def _sample_messages() -> tuple[Message, ...]:
-    names = ['stockd.1']
-    return (
-        Heartbeat(incarnation=_RANGE, phase='serving', offset=1),
-        HeartbeatReply(
-            incarnation=_RANGE,
-            phase='serving',
-            offset=1,
-            key_prefix='wf1.0123456789ab-1.0.',
-        ),
-        ClaimRequest(
-            primary=_RANGE,
-            range_id=_RANGE,
-            slot=1,
-            key=_SAMPLE_KEY,
-            digest=_DIGEST,
-            claim_id='0123456789abcdef',
-        ),
-        ClaimReply(decision='granted'),
-        Replicate(
-            member=_RANGE,
-            range_id=_RANGE,
-            view=1,
-            floor=0,
-            slot=1,
-            key=_SAMPLE_KEY,
-            digest=_DIGEST,
-        ),
-        SlotWant(
-            service='stockd',
-            lanes={'kiosk': 1},
-            served={'kiosk': 3.0},
-            waited_ms=1,
-        ),
-        SlotGrant(service='stockd', backends=names, sequence=9),
-        SlotRecall(service='stockd', waited_ms=1, finish={'kiosk': 1.0}),
-        SlotReturn(service='stockd', backends=names),
-        SlotsHeld(service='stockd', backends=names * 5, sequence=9),
-    )
-
-
-def measure_messages() -> list[Reading]:
-    """Measure each message's size and its cost to encode and decode."""
-    readings = []
-    for message in _sample_messages():
-        frame = Frame(1, 0, message)
-        raw = encode_frame(frame)
-        name = type(message).__name__
-        readings.append(
-            Reading(
-                what=f'{name} frame',
-                size=1,
-                figure=len(raw),
-                unit='bytes',
-            ),
-        )
-        cost = _codec_cost(frame, raw)
-        readings.append(
-            Reading(
-                what=f'{name} encode and decode',
-                size=1,
-                figure=cost,
-                unit='us',
-            ),
-        )
-    return readings
-
-
-def _codec_cost(frame: Frame, raw: bytes) -> float:
-    return time_us(lambda: (encode_frame(frame), decode_frame(raw)))
-
-
 def measure_decision(size: int) -> list[Reading]:
     """Measure one choice and one dealing at a service of ``size`` endpoints."""
     pool = Pool('south-tas')
