Let a silent log client go only when nobody waits on it

(1) A ticket got 503: since the change that closes a silent client at once, each call that failed ended the other calls of the same client, which replaced it in turn. (2) The outage test paid nothing for 20 s: it took the log away before the second ranges were made; it now waits for them, as an operator's log would have been up for longer than a second. Ruled out for (1): the relay's silence (new connections passed).

--- a/wagtailfork/control/log_client.py
+++ b/wagtailfork/control/log_client.py
@@ -52,6 +52,7 @@
         self._url = url.rstrip('/')
         self._timeout_s = timeout_s
         self._http = aiosonic.HTTPClient()
+        self._closing: set[asyncio.Task[None]] = set()
 
     async def append(self, stream: str, record: Any) -> int:
         """Append one record and give its offset.
@@ -84,11 +85,12 @@
         extra_s: float,
     ) -> Any:
         limit = self._timeout_s + extra_s
+        http = self._http
         try:
             async with asyncio.timeout(limit):
-                return await self._exchange(method, path, body, limit)
+                return await self._exchange(http, method, path, body, limit)
         except _FAILURES as exc:
-            await self._reconnect()
+            self._reconnect(http, limit)
             raise WagtailforkError(
                 ResultCode.log_unavailable,
                 repr(exc),
@@ -96,13 +98,14 @@
 
     async def _exchange(
         self,
+        http: aiosonic.HTTPClient,
         method: str,
         path: str,
         body: Any,
         limit: float,
     ) -> Any:
         sent = None if body is None else json.dumps(body)
-        answer = await self._http.request(
+        answer = await http.request(
             self._url + path,
             method=method,
             data=sent,
@@ -117,10 +120,19 @@
             )
         return json.loads(text)
 
-    async def _reconnect(self) -> None:
+    def _reconnect(self, silent: aiosonic.HTTPClient, limit_s: float) -> None:
         # A connection may be silent for good: the next call opens anew.
-        silent = self._http
+        if self._http is not silent:
+            return
         self._http = aiosonic.HTTPClient()
-        with contextlib.suppress(*_FAILURES):
-            async with asyncio.timeout(_CLOSE_TIMEOUT_S):
-                await silent.shutdown()
+        closing = asyncio.create_task(_close_later(silent, limit_s))
+        self._closing.add(closing)
+        closing.add_done_callback(self._closing.discard)
+
+
+async def _close_later(silent: aiosonic.HTTPClient, limit_s: float) -> None:
+    # Other calls may still have their answers coming on it.
+    await asyncio.sleep(limit_s)
+    with contextlib.suppress(*_FAILURES):
+        async with asyncio.timeout(_CLOSE_TIMEOUT_S):
+            await silent.shutdown()
--- a/wagtailfork/tests/rig.py
+++ b/wagtailfork/tests/rig.py
@@ -314,6 +314,17 @@
         prefixes = [entry['key_prefix'] for entry in named]
         return len(prefixes) == len(self.entries) and all(prefixes)
 
+    async def has_spare_ranges(self) -> bool:
+        """Tell whether each entry VM has two ranges with backups."""
+        raw = await self.dump(self.entries[0])
+        homes = [
+            view['members'][0]
+            for view in raw['ranges'].values()
+            if len(view['members']) > 1
+        ]
+        counts = [homes.count(home) for home in set(homes)]
+        return len(counts) == len(self.entries) and min(counts) > 1
+
     async def directory(self, entry: Entry) -> list[dict[str, Any]]:
         """Ask an entry VM which to use."""
         raw = await self.get(f'{entry.callers}/wagtailfork/v1/directory')
--- a/wagtailfork/tests/test_outage.py
+++ b/wagtailfork/tests/test_outage.py
@@ -26,6 +26,7 @@
 
     async def _outage(self) -> None:
         async with Rig() as rig:
+            await until(rig.has_spare_ranges)
             await rig.log_faults(outage=True)
             newcomer = await rig.add_entry('entry-9', 'hobart-b')
             await rig.list_vms()
