Give a backup the primary's slot, not its floor

Cause: read as a newcomer: the backup set its clock to the floor plus 15, but in a range younger than 15 slots the floor is still 0, so its slots ran ahead and, as primary, it would have refused young keys (4005) after minutes. Ruled out: wrong grants (an early floor only refuses). Conclusion: keys live 15 slots after a takeover too.

--- a/wagtailfork/bench/messages.py
+++ b/wagtailfork/bench/messages.py
@@ -46,7 +46,7 @@
             member=_RANGE,
             range_id=_RANGE,
             view=1,
-            floor=0,
+            slot_now=0,
             slot=1,
             key=_SAMPLE_KEY,
             digest=_DIGEST,
--- a/wagtailfork/claims/register.py
+++ b/wagtailfork/claims/register.py
@@ -159,7 +159,7 @@
             req.claim_id,
         )
         if decision == Decision.pending:
-            decision = await self._grant(view, held.table, req)
+            decision = await self._grant(view, held, req)
         return _make_reply(held.table, req, decision)
 
     async def serve_replicate(self, req: Replicate) -> Ack:
@@ -169,9 +169,9 @@
             raise WagtailforkError(ResultCode.wrong_incarnation, req.member)
         if self._view(req.range_id).number != req.view:
             raise WagtailforkError(ResultCode.stale_view, req.range_id)
-        held.table.raise_floor(req.floor)
+        held.table.raise_floor(req.slot_now - KEPT_SLOTS)
         # Slots go on from the primary's clock if this member takes over.
-        held.first_slot = req.floor + KEPT_SLOTS
+        held.first_slot = req.slot_now
         held.started_at = time.monotonic()
         if not held.table.store(req.slot, req.key, req.digest):
             raise WagtailforkError(ResultCode.key_conflict, req.key)
@@ -245,17 +245,17 @@
     async def _grant(
         self,
         view: View,
-        table: ClaimTable,
+        held: HeldRange,
         req: ClaimRequest,
     ) -> Decision:
         others = [name for name in view.members if name != self.incarnation]
         try:
             for member in others:
-                await self._replicate(member, view, table, req)
+                await self._replicate(member, view, held, req)
         except BaseException:
-            table.withdraw(req.slot, req.key, req.claim_id)
+            held.table.withdraw(req.slot, req.key, req.claim_id)
             raise
-        if table.confirm(req.slot, req.key, req.claim_id):
+        if held.table.confirm(req.slot, req.key, req.claim_id):
             return Decision.granted
         return Decision.in_progress
 
@@ -263,14 +263,14 @@
         self,
         member: str,
         view: View,
-        table: ClaimTable,
+        held: HeldRange,
         req: ClaimRequest,
     ) -> None:
         message = Replicate(
             member=member,
             range_id=req.range_id,
             view=view.number,
-            floor=table.floor,
+            slot_now=held.slot(self._slot_s),
             slot=req.slot,
             key=req.key,
             digest=req.digest,
--- a/wagtailfork/claims/tests/test_register.py
+++ b/wagtailfork/claims/tests/test_register.py
@@ -311,6 +311,19 @@
         """Find the double dispatch when members are not asked."""
         self.assertRaises(AssertionError, explore, ForgetfulMachine, 2000)
 
+    def test_backup_follows_the_clock_of_slots(self) -> None:
+        """Regression: in a young range the backup's slots ran ahead."""
+        machine = ClaimMachine()
+        home, backup = HOMES[:2]
+        machine.claim(home, 'k')
+        machine.deliver(0)
+        slots = [
+            machine.registers[name].current_slot(RANGE)
+            for name in (home, backup)
+        ]
+        self.assertEqual([0, 0], slots)
+        machine.teardown()
+
     def test_old_view_can_not_grant(self) -> None:
         """Refuse a claim that was made before the backup took over."""
         machine = ClaimMachine()
--- a/wagtailfork/control/follower.py
+++ b/wagtailfork/control/follower.py
@@ -76,12 +76,12 @@
         """Take a peer's state where it is further on."""
         before = self.state.offset
         known = self.ready
-        folds = self.reader.adopt(state)
+        self.reader.adopt(state)
         self._caught_up = True
         if known and self.state.offset == before:
             return False
         log_event(_logger, 'state_adopted', offset=self.state.offset)
-        self._publish(folds)
+        self._publish()
         return True
 
     async def run(self) -> None:
@@ -119,7 +119,7 @@
             first_time = not self._caught_up
             self._caught_up = True
         if page.records or first_time:
-            self._publish(folds)
+            self._publish()
 
     def _count_snapshot(self, kind: object) -> None:
         if kind == 'snapshot':
@@ -137,7 +137,7 @@
         if fut is not None and not fut.done():
             fut.set_result((offset, folds[offset][1]))
 
-    def _publish(self, folds: object) -> None:
+    def _publish(self) -> None:
         if not self.ready:
             return
         self._moved.set()
--- a/wagtailfork/peers/messages.py
+++ b/wagtailfork/peers/messages.py
@@ -71,7 +71,7 @@
     member: str  # incarnation that is addressed
     range_id: str
     view: int
-    floor: int
+    slot_now: int  # by the primary's clock
     slot: int
     key: str
     digest: str
