Drop a caller that goes silent within its body

Ruled out: the server's keep-alive limit (it covers idle connections only). Test first: without the limit the connection is still open after 20 s; with it (1 s in the test, 30 s by default) it ends and nothing stays in flight. Conclusion: silent callers are covered as backend servers, peers and log are.

--- a/wagtailfork/core/settings.py
+++ b/wagtailfork/core/settings.py
@@ -33,6 +33,7 @@
     directory_ttl_s: float = attrs.field(default=5.0, validator=_POSITIVE)
     claim_timeout_s: float = attrs.field(default=0.5, validator=_POSITIVE)
     default_deadline_s: float = attrs.field(default=10.0, validator=_POSITIVE)
+    caller_stall_s: float = attrs.field(default=30.0, validator=_POSITIVE)
     traffic_flush_s: float = attrs.field(default=10.0, validator=_POSITIVE)
     key_slot_s: float = attrs.field(default=60.0, validator=_POSITIVE)
     snapshot_every_s: float = attrs.field(default=600.0, validator=_POSITIVE)
--- a/wagtailfork/node/entry.py
+++ b/wagtailfork/node/entry.py
@@ -215,6 +215,7 @@
             web.make_directory_app(self),
             self.cfg.timing.default_deadline_s,
             lambda: self.follower.ready,
+            self.cfg.timing.caller_stall_s,
         )
         self.caller_server = HttpServer(
             self.front,
--- a/wagtailfork/proxy/front.py
+++ b/wagtailfork/proxy/front.py
@@ -48,6 +48,7 @@
     receive: Receive
     send: Send
     started_at: float
+    stall_s: float
     bytes_in: int = 0
     bytes_out: int = 0
     head_bytes: int = 0  # of both heads, for the link between regions
@@ -70,6 +71,7 @@
     _others: ASGIApp
     _default_deadline_s: float
     is_serving: Callable[[], bool]
+    _caller_stall_s: float
     in_flight: int = 0
     closing: bool = False  # tell callers not to reuse their connections
 
@@ -85,7 +87,7 @@
         if not scope['path'].startswith(_CALL_PREFIX):
             await self._others(scope, receive, send)
             return
-        call = _Call(receive, send, time.monotonic())
+        call = _Call(receive, send, time.monotonic(), self._caller_stall_s)
         self.in_flight += 1
         try:
             await self._serve(scope, call)
@@ -243,13 +245,23 @@
     )
 
 
+async def _receive(call: _Call) -> MutableMapping[str, Any]:
+    """Wait for more of the body; a caller silent for long counts as gone."""
+    try:
+        async with asyncio.timeout(call.stall_s):
+            message = await call.receive()
+    except TimeoutError as exc:
+        raise CallerGone from exc
+    if message['type'] == 'http.disconnect':
+        raise CallerGone
+    return message
+
+
 async def _read_body(call: _Call) -> Body:
     first = bytearray()
     more = True
     while more:
-        message = await call.receive()
-        if message['type'] == 'http.disconnect':
-            raise CallerGone
+        message = await _receive(call)
         first.extend(message.get('body', b''))
         more = message.get('more_body', False)
         if len(first) > BUFFERED_BODY_BYTES:
@@ -261,9 +273,7 @@
 async def _read_rest(call: _Call) -> AsyncIterator[bytes]:
     more = True
     while more:
-        message = await call.receive()
-        if message['type'] == 'http.disconnect':
-            raise CallerGone
+        message = await _receive(call)
         chunk = message.get('body', b'')
         call.bytes_in += len(chunk)
         more = message.get('more_body', False)
--- a/wagtailfork/tests/test_silence.py
+++ b/wagtailfork/tests/test_silence.py
@@ -5,8 +5,8 @@
 import testtools
 
 from .relay import Relay
-from .rig import Rig
-from .rig_tools import until
+from .rig import FAST, Rig
+from .rig_tools import HOST, until
 from .scenes import burst
 
 
@@ -21,6 +21,28 @@
         """Put a ticket in force over links that replaced silent ones."""
         asyncio.run(self._silence_control())
 
+    def test_silent_caller_is_dropped(self) -> None:
+        """End the connection of a caller that stops within its body."""
+        asyncio.run(self._silence_caller())
+
+    async def _silence_caller(self) -> None:
+        timing = {**FAST, 'caller_stall_s': 1}
+        async with Rig(entries_wanted=1, timing=timing) as rig:
+            reader, writer = await asyncio.open_connection(
+                HOST,
+                rig.entries[0].ports[0],
+            )
+            writer.write(
+                b'PUT /s/payvend/item HTTP/1.1\r\nhost: x\r\n'
+                b'wagtailfork-customer: kiosk\r\n'
+                b'content-length: 300000\r\n\r\n',
+            )
+            async with asyncio.timeout(20):
+                await reader.read()
+            raw = await rig.dump(rig.entries[0])
+            self.assertEqual(0, raw['in_flight'])
+            writer.close()
+
     async def _silence_backend(self) -> None:
         async with Rig(backends_wanted=2) as rig:
             relays = [Relay(port) for port in rig.backend_ports]
