Prove that a refusal before the claim closes its key

First fails: without closing, the same key answers 2005 and then 1000, it ran after 'not run'; with it 2005 and 2013, no run. Ruled out: nothing else changed. Conclusion: a named regression for the fault.

--- a/wagtailfork/tests/test_exchange.py
+++ b/wagtailfork/tests/test_exchange.py
@@ -25,6 +25,8 @@
             await self._check_fail_fast(rig)
             await self._check_abandoned_uploads(rig)
             await self._check_limit(rig)
+            await self._check_refused_key(rig)
+            await self._check_long_header(rig)
 
     async def _check_strange_answers(self, rig: Rig) -> None:
         """Deliver no answer that names another request."""
@@ -130,6 +132,41 @@
 
         await until(is_limited)
 
+    async def _check_refused_key(self, rig: Rig) -> None:
+        """Regression: a refusal before the claim left its key open."""
+        rule = {
+            'kind': 'rule',
+            'name': 'only-clerk',
+            'state': {'customer': 'clerk', 'service': 'payvend'},
+        }
+        ticket = {'ticket': 3, 'operator': 'ana', 'objects': [rule]}
+        self.assertEqual(200, (await rig.submit(ticket))[0])
+        await until(lambda: self._kiosk_gets(rig, 2005))
+        prefix = (await rig.directory(rig.entries[0]))[0]['key_prefix']
+        key = f'{prefix}refused'
+        codes = [await self._pay(rig, key)]
+        lifted = {**rule, 'state': None}
+        ticket = {'ticket': 4, 'operator': 'ana', 'objects': [lifted]}
+        self.assertEqual(200, (await rig.submit(ticket))[0])
+        await until(lambda: self._kiosk_gets(rig, 1000))
+        codes.append(await self._pay(rig, key))
+        self.assertEqual([2005, 2013], codes)
+        runs = await rig.runs()
+        self.assertEqual([], [run for run in runs if run['key'] == key])
+
+    async def _check_long_header(self, rig: Rig) -> None:
+        """Refuse a header of ours that is too long."""
+        reply = await rig.call(rig.entries[0], x_request_id='x' * 300)
+        self.assertEqual((2012, 'not-run'), (reply.code, reply.kind))
+
+    async def _pay(self, rig: Rig, key: str) -> int:
+        reply = await rig.call(rig.entries[1], 'POST', idempotency_key=key)
+        return reply.code
+
+    async def _kiosk_gets(self, rig: Rig, code: int) -> bool:
+        replies = [await rig.call(entry) for entry in rig.entries]
+        return {reply.code for reply in replies} == {code}
+
     async def _all_run(self, rig: Rig) -> bool:
         replies = await burst(rig, 6)
         return {reply.kind for reply in replies} == {'ran'}
