Let the rig wait until every entry VM names all the others

Ruled out: the VM having left (its process served, entry 0 named it). The check itself is unchanged. Conclusion: a precondition that the rig now waits for.

--- a/wagtailfork/tests/rig.py
+++ b/wagtailfork/tests/rig.py
@@ -310,9 +310,12 @@
             up = [peer for peer in raw['peers'] if peer['state'] == 'up']
             if len(up) < len(self.entries) - 1:
                 return False
-        named = await self.directory(self.entries[0])
-        prefixes = [entry['key_prefix'] for entry in named]
-        return len(prefixes) == len(self.entries) and all(prefixes)
+        for entry in self.entries:
+            named = await self.directory(entry)
+            prefixes = [each['key_prefix'] for each in named]
+            if len(prefixes) < len(self.entries) or not all(prefixes):
+                return False
+        return True
 
     async def has_spare_ranges(self) -> bool:
         """Tell whether each entry VM has two ranges with backups."""
