--- a/wagtailfork/core/lifecycle.py
+++ b/wagtailfork/core/lifecycle.py
@@ -21,8 +21,8 @@
 class Lifecycle:
     """Move objects with a ``state`` attribute along allowed steps.
 
-    A machine of its own for each object would cost each endpoint about
-    20 KB; here an object carries only its state.
+    A machine of its own for each object would bind every trigger to it;
+    here an object carries only its state.
     """
 
     def __init__(self, states: Sequence[str], steps: Sequence[Step]) -> None:
