Wait for every restarted backend server before the next check

After the check that ends both servers the test waited until six calls ran, which one restarted server alone can answer. Ruled out: a product fault; the refusal came from the rig's own control call. Conclusion: the rig now has one wait for all stand-ins, used at the start and after a restart.

--- a/wagtailfork/tests/rig.py
+++ b/wagtailfork/tests/rig.py
@@ -130,6 +130,10 @@
         for index in range(self.backends_wanted):
             self.backend_ports.append(free_port())
             await self.start_backend(index)
+        await self.until_standins_listen()
+
+    async def until_standins_listen(self) -> None:
+        """Wait until the log, the VM list and every backend server listen."""
         for port in (self.log_port, self.vms_port, *self.backend_ports):
             await until(lambda: is_open(port))  # noqa: B023
 
--- a/wagtailfork/tests/test_exchange.py
+++ b/wagtailfork/tests/test_exchange.py
@@ -78,6 +78,8 @@
             self.assertTrue(broken)
         for index in range(rig.backends_wanted):
             await rig.start_backend(index)
+        # Calls that all ran may have run on the one server that was up.
+        await rig.until_standins_listen()
         await until(lambda: self._all_run(rig))
 
     async def _check_fail_fast(self, rig: Rig) -> None:
