Bound crashing requests when callers leave early or send copies meanwhile

Cause: strikes were noted only where a connection broke under a waiting caller before the answer's head. A server that crashed after the caller had left, within its answer, or while copies were under way elsewhere, was not counted; the head of an answer even cleared the strikes. Ruled out: a hop for every request to one VM per fingerprint, and asking a registrar first (a round trip for nearly every request). Change: strikes within the answer; fingerprints without an answer are held, told to peers when slow (0.25 s) or left, and their copies go to at most two servers that all VMs agree on. A slot taken without being lent was returned to the dealer while in use.

--- a/wagtailfork/node/dump.py
+++ b/wagtailfork/node/dump.py
@@ -26,7 +26,9 @@
             'refusals': node.admission.refusals,
             'retries': node.dispatcher.retries,
         },
-        'quarantined': len(node.quarantine),
+        'quarantined': len(node.placement.quarantine),
+        'unanswered': len(node.placement.unanswered),
+        'pinned': node.placement.pinned,
         'in_flight': node.front.in_flight,
         'connections_retired': node.upstream.retirements,
     }
--- a/wagtailfork/node/entry.py
+++ b/wagtailfork/node/entry.py
@@ -18,15 +18,15 @@
 from ..core.settings import EntrySettings
 from ..core.supervisor import Supervisor
 from ..peers.mesh import Mesh
-from ..peers.messages import Absolve, Heartbeat, Hello, Message, Strike
+from ..peers.messages import Heartbeat, Hello, Message
 from ..proxy.claimant import Claimant
 from ..proxy.dispatcher import Dispatcher
 from ..proxy.front import CallerFront
 from ..proxy.sender import Sender
 from ..routing.admission import Admission
 from ..routing.budget import LinkBudget
+from ..routing.placement import Placement
 from ..routing.pool import Pool
-from ..routing.quarantine import Quarantine
 from ..routing.upstream import Upstream
 from ..traffic.ledger import Ledger
 from . import web
@@ -35,10 +35,10 @@
 from .handlers import handle
 from .lending import Lending
 from .membership import LIVE, ListedVm, VmListFollower, VmListing
+from .suspicion import SuspicionSpreader
 
 _INCARNATION_BYTES: Final = 6
 _SWEEP_S: Final = 0.05
-_SPREAD_TIMEOUT_S: Final = 0.2
 _SERVING: Final = 'serving'
 
 _logger = logging.getLogger(__name__)
@@ -170,7 +170,6 @@
 
     def _build_data_path(self) -> None:
         self.pool = Pool(self.cfg.region, self.cfg.lend_slots)
-        self.quarantine = Quarantine()
         self.upstream = Upstream()
         self.admission = Admission(self.pool, self.cfg.queue_limit)
         self.admission.far_link = LinkBudget(self.cfg.far_link_bytes_per_s)
@@ -183,19 +182,19 @@
                 self.admission,
                 self.mesh,
             )
+        self.placement = Placement(self.pool, self.admission)
         self.sender = Sender(
             self.pool,
             self.admission,
             self.upstream,
-            self.quarantine,
-            self._spread_strike,
-            self._spread_absolution,
+            self.placement,
+            SuspicionSpreader(self.mesh),
         )
         self.dispatcher = Dispatcher(
             self.pool,
-            self.admission,
             Claimant(self.register),
             self.sender,
+            self.placement,
         )
         self.ledger = Ledger(
             self.cfg.vm,
@@ -275,6 +274,7 @@
             await asyncio.sleep(_SWEEP_S)
             self.admission.sweep()
             await self.upstream.sweep()
+            await self.sender.tell_slow()
 
     async def _depart(self) -> None:
         _LIFECYCLE.fire(self, 'leave')
@@ -309,11 +309,3 @@
             phase=self.state,
             offset=self.follower.state.offset,
         )
-
-    async def _spread_strike(self, fingerprint: str, backend: str) -> None:
-        strike = Strike(fingerprint=fingerprint, backend=backend)
-        await self.mesh.broadcast(strike, _SPREAD_TIMEOUT_S)
-
-    async def _spread_absolution(self, fingerprint: str) -> None:
-        absolve = Absolve(fingerprint=fingerprint)
-        await self.mesh.broadcast(absolve, _SPREAD_TIMEOUT_S)
--- a/wagtailfork/node/handlers.py
+++ b/wagtailfork/node/handlers.py
@@ -75,8 +75,7 @@
     message: messages.Strike,
     node: 'EntryNode',
 ) -> Message:
-    now = time.monotonic()
-    node.quarantine.strike(message.fingerprint, message.backend, now)
+    node.placement.strike(message.fingerprint, message.backend)
     return messages.Ack()
 
 
@@ -85,7 +84,17 @@
     message: messages.Absolve,
     node: 'EntryNode',
 ) -> Message:
-    node.quarantine.absolve(message.fingerprint)
+    node.placement.absolve(message.fingerprint)
+    return messages.Ack()
+
+
+@handle.register(messages.Running)
+async def _handle_running(
+    message: messages.Running,
+    node: 'EntryNode',
+) -> Message:
+    now = time.monotonic()
+    node.placement.unanswered.hear(message.fingerprint, message.backend, now)
     return messages.Ack()
 
 
--- a/wagtailfork/node/metrics.py
+++ b/wagtailfork/node/metrics.py
@@ -43,7 +43,8 @@
         'wagtailfork_control_age_seconds': node.follower.age_s(),
         'wagtailfork_peers_up': len(node.mesh.up_links()),
         'wagtailfork_claims_held': sum(node.register.sizes().values()),
-        'wagtailfork_fingerprints': len(node.quarantine),
+        'wagtailfork_pinned': node.placement.pinned,
+        'wagtailfork_fingerprints': len(node.placement.quarantine),
         'wagtailfork_connections_retired': node.upstream.retirements,
         'wagtailfork_traffic_dropped': node.ledger.dropped,
     }
--- a/wagtailfork/peers/messages.py
+++ b/wagtailfork/peers/messages.py
@@ -114,6 +114,14 @@
     fingerprint: str
 
 
+@attrs.frozen(kw_only=True)
+class Running:
+    """Report that a server holds a request that has no answer yet."""
+
+    fingerprint: str
+    backend: str
+
+
 @attrs.frozen(kw_only=True)
 class StateRequest:
     """Ask a peer for its folded state, if it is beyond an offset."""
@@ -193,6 +201,7 @@
     | Ack
     | Strike
     | Absolve
+    | Running
     | StateRequest
     | StateReply
     | SlotWant
--- a/wagtailfork/proxy/dispatcher.py
+++ b/wagtailfork/proxy/dispatcher.py
@@ -11,12 +11,13 @@
 from ..control.objects import Customer, Limit, Service
 from ..core.errors import WagtailforkError
 from ..core.results import ResultCode, result_class
-from ..routing.admission import Admission, Demand
+from ..routing.admission import Demand
 from ..routing.budget import RetryBudget
 from ..routing.fairness import TokenBucket
+from ..routing.placement import Placement
 from ..routing.pool import Pool
 from .claimant import Claimant
-from .exchange import Ending, Exchange, Replay
+from .exchange import Exchange, Replay, ending_of
 from .request import CallerRequest
 from .sender import Sender
 
@@ -26,9 +27,9 @@
     """Decide and carry out what happens to each request."""
 
     _pool: Pool
-    _admission: Admission
     _claimant: Claimant
     _sender: Sender
+    _placement: Placement
     _state: ControlState = attrs.field(factory=ControlState)
     _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _buckets: dict[tuple[str, str], tuple[Limit, TokenBucket]] = attrs.field(
@@ -71,7 +72,7 @@
         if req.method in service.once_methods:
             return await self._dispatch_once(req, service)
         self._check_rate(req)
-        self._sender.check_quarantine(req)
+        self._placement.check(req.fingerprint)
         return await self._dispatch_repeatable(req, service)
 
     async def refuse(
@@ -94,35 +95,57 @@
         service: Service,
     ) -> Exchange:
         excluded: frozenset[str] = frozenset()
-        budget = self._budget(req.service, service)
-        budget.earn()
+        self._budget(req.service, service).earn()
         while True:
-            endpoint = await self._admission.acquire(
-                self._demand(req, excluded),
-            )
+            demand = self._demand(req, excluded)
+            endpoint = await self._placement.acquire(demand, req.fingerprint)
             try:
                 return await self._sender.attempt(req, service, endpoint)
             except WagtailforkError as exc:
-                if not self._may_retry(req, exc, budget):
+                if not self._may_retry(req, exc, service):
                     raise
-            self.retries += 1
-            excluded |= {endpoint.name}
-            if len(excluded) >= len(self._pool.endpoints(req.service)):
-                excluded = frozenset()
+            excluded = self._exclude(req, service, excluded | {endpoint.name})
+
+    def _exclude(
+        self,
+        req: CallerRequest,
+        service: Service,
+        tried: frozenset[str],
+    ) -> frozenset[str]:
+        if len(tried) < len(self._pool.endpoints(req.service)):
+            return tried
+        # All were tried, so going on must be within the budget.
+        if not self._budget(req.service, service).spend():
+            raise WagtailforkError(ResultCode.no_backend, req.service)
+        return frozenset()
 
     def _may_retry(
         self,
         req: CallerRequest,
         exc: WagtailforkError,
-        budget: RetryBudget,
+        service: Service,
     ) -> bool:
         if exc.code not in _RETRIED or not req.body.is_whole:
             return False
         if time.monotonic() >= req.deadline:
             return False
-        if self._sender.is_quarantined(req):
+        if self._placement.is_quarantined(req.fingerprint):
+            return False
+        return self._spend(req, exc, service)
+
+    def _spend(
+        self,
+        req: CallerRequest,
+        exc: WagtailforkError,
+        service: Service,
+    ) -> bool:
+        # A refused connection cost no server anything, and the server is
+        # not tried again for this request.
+        is_free = exc.code == ResultCode.no_backend
+        if not (is_free or self._budget(req.service, service).spend()):
             return False
-        return budget.spend()
+        self.retries += 1
+        return True
 
     async def _dispatch_once(
         self,
@@ -146,12 +169,12 @@
         service: Service,
     ) -> Exchange:
         self._check_rate(req)
-        self._sender.check_quarantine(req)
+        self._placement.check(req.fingerprint)
         exchange = await self._dispatch_claimed(req, service)
         try:
             await exchange.read_first(MAX_KEPT_BODY_BYTES)
         except (ClientError, OSError) as exc:
-            self._sender.finish(exchange, Ending.broken)
+            await self._sender.finish(exchange, ending_of(exc))
             raise WagtailforkError(
                 ResultCode.connection_lost,
                 repr(exc),
@@ -166,13 +189,12 @@
         excluded: frozenset[str] = frozenset()
         while True:
             demand = self._demand(req, excluded)
-            endpoint = await self._admission.acquire(demand)
+            endpoint = await self._placement.acquire(demand, req.fingerprint)
             try:
                 return await self._sender.attempt(req, service, endpoint)
             except WagtailforkError as exc:
                 if not self._may_send_again(req, exc, service):
                     raise
-            self.retries += 1
             excluded |= {endpoint.name}
 
     def _may_send_again(
@@ -184,8 +206,7 @@
         # Only a true 'not run' of the first server allows a second one.
         if result_class(exc.code) != 'not-run' or exc.code not in _RETRIED:
             return False
-        budget = self._budget(req.service, service)
-        return req.body.is_whole and budget.spend()
+        return req.body.is_whole and self._spend(req, exc, service)
 
     def _demand(self, req: CallerRequest, excluded: frozenset[str]) -> Demand:
         customer = self._state.find('customer', req.customer)
--- a/wagtailfork/proxy/exchange.py
+++ b/wagtailfork/proxy/exchange.py
@@ -16,6 +16,7 @@
 
     whole = 'whole'
     broken = 'broken'  # by the backend server
+    stalled = 'stalled'  # the backend server went silent
     cancelled = 'cancelled'  # by the caller
 
 
@@ -26,6 +27,7 @@
     endpoint: Endpoint
     response: ClientResponse
     sent_at: float
+    fingerprint: str = ''
     first: bytes = b''  # the part of the body that is already read
     whole: bool = False  # whether ``first`` is the whole body
 
@@ -54,3 +56,8 @@
     """Hold the kept answer of a request that ran before."""
 
     answer: Answer
+
+
+def ending_of(exc: Exception) -> Ending:
+    """Tell a server that fell silent from one that broke its answer off."""
+    return Ending.stalled if isinstance(exc, TimeoutError) else Ending.broken
--- a/wagtailfork/proxy/front.py
+++ b/wagtailfork/proxy/front.py
@@ -19,7 +19,7 @@
 from ..traffic.ledger import Ledger, Served, TrafficKey
 from . import headers as names
 from .dispatcher import Dispatcher
-from .exchange import Ending, Exchange, Replay
+from .exchange import Ending, Exchange, Replay, ending_of
 from .request import (
     BUFFERED_BODY_BYTES,
     Body,
@@ -173,7 +173,7 @@
             await self._stream(call, exchange)
             ending = Ending.whole
         except (ClientError, OSError) as exc:
-            ending = Ending.broken
+            ending = ending_of(exc)
             # Ending the call without its last part tells the caller that
             # the answer is not whole.
             raise WagtailforkError(
@@ -183,7 +183,7 @@
         finally:
             crossed = call.bytes_in + call.bytes_out + call.head_bytes
             self._sender.charge(exchange, crossed)
-            self._sender.finish(exchange, ending)
+            await self._sender.finish(exchange, ending)
 
     async def _stream(self, call: _Call, exchange: Exchange) -> None:
         response = exchange.response
--- a/wagtailfork/proxy/sender.py
+++ b/wagtailfork/proxy/sender.py
@@ -1,9 +1,10 @@
 """Send one request to one backend server and judge what came back."""
 
+import asyncio
 import logging
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable
-from typing import Final
+from collections.abc import AsyncIterator
+from typing import Final, Protocol
 
 import attrs
 from aiohttp import ClientResponse
@@ -15,7 +16,7 @@
 from ..routing.admission import Admission
 from ..routing.endpoint import Endpoint
 from ..routing.pool import Pool
-from ..routing.quarantine import Quarantine
+from ..routing.placement import Placement
 from ..routing.upstream import (
     FailureKind,
     StreamedBody,
@@ -29,6 +30,7 @@
 
 _SERVER_ERROR: Final = 500
 _UNAVAILABLE: Final = 503
+_FAILED: Final = frozenset((Ending.broken, Ending.stalled))
 
 _FAILURE_CODES: Final = {
     FailureKind.not_sent: ResultCode.no_backend,
@@ -39,8 +41,18 @@
 
 _logger = logging.getLogger(__name__)
 
-SpreadStrike = Callable[[str, str], Awaitable[None]]  # fingerprint, server
-SpreadAbsolution = Callable[[str], Awaitable[None]]
+
+class Peers(Protocol):
+    """Tell the other entry VMs what became of a fingerprint."""
+
+    async def strike(self, fingerprint: str, backend: str) -> None:
+        """Tell that a server crashed under a request."""
+
+    async def absolve(self, fingerprint: str) -> None:
+        """Tell that a request was answered whole."""
+
+    async def running(self, fingerprint: str, backend: str) -> None:
+        """Tell that a server holds a request without an answer."""
 
 
 @attrs.define
@@ -50,20 +62,9 @@
     _pool: Pool
     _admission: Admission
     _upstream: Upstream
-    quarantine: Quarantine
-    _spread_strike: SpreadStrike
-    _spread_absolution: SpreadAbsolution
-
-    def is_quarantined(self, req: CallerRequest) -> bool:
-        """Tell whether requests like this crashed too many servers."""
-        now = time.monotonic()
-        return self.quarantine.is_refused(req.fingerprint, now)
-
-    def check_quarantine(self, req: CallerRequest) -> None:
-        """Raise ``quarantined`` for a request that crashes servers."""
-        if len(self.quarantine) and self.is_quarantined(req):
-            crashed = ','.join(self.quarantine.crashed(req.fingerprint))
-            raise WagtailforkError(ResultCode.quarantined, crashed)
+    _placement: Placement
+    _peers: Peers
+    _telling: set[asyncio.Task[None]] = attrs.field(factory=set)
 
     async def attempt(
         self,
@@ -82,16 +83,18 @@
         except BaseException:
             took_s = time.monotonic() - sent_at
             self._admission.release(endpoint, took_s)
+            # Of a copy that may still run, _send has left a record.
+            self._placement.unanswered.end(req.fingerprint, endpoint.name)
             raise
-        await self._absolve(req)
-        return Exchange(endpoint, response, sent_at)
+        await self._note_answer(req.fingerprint)
+        return Exchange(endpoint, response, sent_at, req.fingerprint)
 
-    async def _absolve(self, req: CallerRequest) -> None:
-        if not len(self.quarantine):
-            return
-        if self.quarantine.is_suspect(req.fingerprint):
-            self.quarantine.absolve(req.fingerprint)
-            await self._spread_absolution(req.fingerprint)
+    async def _note_answer(self, fingerprint: str) -> None:
+        was_told = self._placement.unanswered.answered(fingerprint)
+        # A server may still crash within the answer, so strikes stay.
+        is_suspect = self._placement.quarantine.is_suspect(fingerprint)
+        if was_told and not is_suspect:
+            await self._peers.absolve(fingerprint)
 
     async def _send(
         self,
@@ -108,6 +111,9 @@
         sent = _upstream_request(req, remaining_s)
         try:
             return await self._upstream.send(endpoint, sent, limit_s)
+        except asyncio.CancelledError:
+            self._leave(req.fingerprint, endpoint)
+            raise
         except UpstreamError as exc:
             await self._note_failure(req, endpoint, exc.kind)
             raise WagtailforkError(
@@ -129,17 +135,44 @@
             kind=kind.value,
         )
         if kind == FailureKind.abandoned:
+            self._leave(req.fingerprint, endpoint)
             return
         self._pool.note_failure(endpoint)
         if kind == FailureKind.silent:
+            self._leave(req.fingerprint, endpoint)
             self._upstream.suspect(endpoint)
         if kind == FailureKind.lost:
             self._upstream.retire(endpoint.backend.address)
-            fingerprint = req.fingerprint
-            now = time.monotonic()
-            self.quarantine.strike(fingerprint, endpoint.name, now)
-            # Every peer knows of the strike before the caller can send again.
-            await self._spread_strike(fingerprint, endpoint.name)
+            await self._strike(req.fingerprint, endpoint)
+        if kind == FailureKind.not_sent and self._held_before(req, endpoint):
+            # It answers no connection any more since it got a copy of this.
+            await self._strike(req.fingerprint, endpoint)
+
+    def _held_before(self, req: CallerRequest, endpoint: Endpoint) -> bool:
+        unanswered = self._placement.unanswered
+        unanswered.end(req.fingerprint, endpoint.name)
+        now = time.monotonic()
+        return endpoint.name in unanswered.servers(req.fingerprint, now)
+
+    async def _strike(self, fingerprint: str, endpoint: Endpoint) -> None:
+        self._placement.strike(fingerprint, endpoint.name)
+        # Every peer knows of the strike before the caller can send again.
+        await self._peers.strike(fingerprint, endpoint.name)
+
+    def _leave(self, fingerprint: str, endpoint: Endpoint) -> None:
+        now = time.monotonic()
+        unanswered = self._placement.unanswered
+        if not unanswered.leave(fingerprint, endpoint.name, now):
+            return
+        telling = self._peers.running(fingerprint, endpoint.name)
+        task = asyncio.create_task(telling)
+        self._telling.add(task)
+        task.add_done_callback(self._telling.discard)
+
+    async def tell_slow(self) -> None:
+        """Tell peers of requests that have run for long."""
+        for found in self._placement.unanswered.due(time.monotonic()):
+            await self._peers.running(*found)
 
     def _check_response(
         self,
@@ -169,8 +202,19 @@
         if far_link is not None and region != self._pool.region:
             far_link.charge(size, time.monotonic())
 
-    def finish(self, exchange: Exchange, ending: Ending) -> None:
+    async def finish(self, exchange: Exchange, ending: Ending) -> None:
         """End an exchange whose answer was passed on, whole or not."""
+        self._close(exchange, ending)
+        fingerprint = exchange.fingerprint
+        if ending == Ending.broken:
+            await self._strike(fingerprint, exchange.endpoint)
+            return
+        is_suspect = self._placement.quarantine.is_suspect(fingerprint)
+        if ending == Ending.whole and is_suspect:
+            self._placement.absolve(fingerprint)
+            await self._peers.absolve(fingerprint)
+
+    def _close(self, exchange: Exchange, ending: Ending) -> None:
         took_s = time.monotonic() - exchange.sent_at
         if ending == Ending.whole:
             exchange.response.release()
@@ -178,7 +222,7 @@
             # Closing the connection is how the server hears a cancellation.
             exchange.response.close()
         is_error = exchange.response.status >= _SERVER_ERROR
-        if ending == Ending.broken or is_error:
+        if ending in _FAILED or is_error:
             self._pool.note_failure(exchange.endpoint)
         elif ending == Ending.whole:
             exchange.endpoint.answered(took_s)
--- a/wagtailfork/routing/admission.py
+++ b/wagtailfork/routing/admission.py
@@ -99,9 +99,21 @@
         line = self._lines.setdefault(service, _Line())
         moved = took_s - line.service_time_s
         line.service_time_s += moved * _SERVICE_TIME_WEIGHT
-        if self.share is not None:
-            self.share.on_release(endpoint, _head(line))
-        self._serve(service, line)
+        self._hand_on(endpoint, line)
+
+    def take(self, endpoint: Endpoint, demand: Demand) -> bool:
+        """Take a slot of one server, lent or not, if it has any."""
+        if endpoint.in_flight >= endpoint.backend.slots:
+            return False
+        endpoint.took()
+        self._count(demand)
+        return True
+
+    def give_back(self, endpoint: Endpoint) -> None:
+        """Give a slot back that was not used."""
+        endpoint.ended()
+        service = endpoint.backend.service
+        self._hand_on(endpoint, self._lines.setdefault(service, _Line()))
 
     def sweep(self) -> None:
         """Serve waiting requests whose endpoints came back by themselves."""
@@ -194,6 +206,11 @@
             if not taken:
                 _return_slot(waiter)
 
+    def _hand_on(self, endpoint: Endpoint, line: _Line) -> None:
+        if self.share is not None:
+            self.share.on_release(endpoint, _head(line))
+        self._serve(endpoint.backend.service, line)
+
     def serve(self, service: str) -> None:
         """Serve the waiting requests of one service after a grant."""
         line = self._lines.get(service)
--- a/wagtailfork/routing/share.py
+++ b/wagtailfork/routing/share.py
@@ -132,6 +132,9 @@
         contention = self._contended.get(service)
         if endpoint.held is None or contention is None:
             return
+        if endpoint.in_flight >= endpoint.held:
+            # The slot that came free was taken without being lent.
+            return
         now = self._clock()
         if now > contention.until:
             self._contended.pop(service)
--- /dev/null
+++ b/wagtailfork/routing/tests/test_share.py
@@ -0,0 +1,45 @@
+"""Check the slots that one entry VM holds."""
+
+import testtools
+
+from ...peers.messages import Message, SlotGrant, SlotRecall, SlotReturn
+from ..pool import Pool
+from ..share import SlotShare
+from .scene import NEAR, SERVICE, make_state
+
+
+class ShareTest(testtools.TestCase):
+    """Look at what a share gives back."""
+
+    def test_slot_taken_unlent_is_not_returned(self) -> None:
+        """Regression: a slot in use was returned as if it were free."""
+        sent: list[Message] = []
+        pool = Pool(NEAR, lends=True, clock=float)
+        pool.on_state(make_state((NEAR,), slots=4))
+        share = SlotShare(
+            pool,
+            lambda _service, message: sent.append(message),
+            float,
+        )
+        share.on_grant(
+            SlotGrant(service=SERVICE, backends=['b0'], sequence=1),
+        )
+        share.on_recall(
+            SlotRecall(service=SERVICE, waited_ms=1, finish={}),
+        )
+        share.on_grant(
+            SlotGrant(service=SERVICE, backends=['b0'], sequence=2),
+        )
+        sent.clear()
+        endpoint = pool.endpoints(SERVICE)[0]
+        endpoint.took()
+        endpoint.took()
+        endpoint.ended()
+        share.on_release(endpoint, None)
+        self.assertEqual([], sent)
+        endpoint.ended()
+        share.on_release(endpoint, None)
+        self.assertEqual(
+            [SlotReturn(service=SERVICE, backends=['b0'])],
+            sent,
+        )
--- a/wagtailfork/standin/backend.py
+++ b/wagtailfork/standin/backend.py
@@ -23,6 +23,7 @@
 _CRASH_EXIT: Final = 3
 _CRASH_HEADER: Final = 'x-crash'
 _FOREVER_S: Final = 1e9
+_HALF_ANSWER_S: Final = 0.1
 _DEADLINE: Final = 'wagtailfork-deadline-ms'
 
 
@@ -198,9 +199,7 @@
             started_at=time.time(),
         )
         self.runs.append(run)
-        if _CRASH_HEADER in headers:
-            self._crash()
-            raise _Dropped
+        await self._crash_if_asked(headers.get(_CRASH_HEADER, ''), send)
         await self._read_body(receive, run)
         if drop == 'during':
             run.outcome = 'dropped'
@@ -210,6 +209,20 @@
             raise _Dropped
         await self._reply(send, headers, run)
 
+    async def _crash_if_asked(self, when: str, send: Send) -> None:
+        """Crash at once, ``after=MS``, or within the ``answer``."""
+        if not when:
+            return
+        if when.startswith('after='):
+            # The server goes down even when the caller has left by then.
+            await asyncio.sleep(int(when.removeprefix('after=')) / 1000)
+        if when == 'answer':
+            await send(_half_answer_start())
+            await send(_half_answer_body())
+            await asyncio.sleep(_HALF_ANSWER_S)
+        self._crash()
+        raise _Dropped
+
     def _crash(self) -> None:
         if self.may_exit:
             os._exit(_CRASH_EXIT)
@@ -276,6 +289,22 @@
         await _answer(send, status, body, extra)
 
 
+def _half_answer_start() -> dict[str, Any]:
+    return {
+        'type': 'http.response.start',
+        'status': HTTPStatus.OK.value,
+        'headers': [(b'content-length', b'1000')],
+    }
+
+
+def _half_answer_body() -> dict[str, Any]:
+    return {
+        'type': 'http.response.body',
+        'body': b'half',
+        'more_body': True,
+    }
+
+
 async def _read_all(receive: Receive) -> bytes:
     body = b''
     more = True
