--- a/wagtailfork/claims/keeper.py
+++ b/wagtailfork/claims/keeper.py
@@ -22,7 +22,6 @@
 
 _CHECK_S: Final = 0.25
 _PUBLISH_WAIT_S: Final = 5.0
-_RANGE_LIFETIME_S: Final = 60 * 60
 _RANGES_WANTED: Final = 2  # with different backups
 _ALONE_WAIT_S: Final = 2.0  # before settling for a range with no backup
 
@@ -50,6 +49,7 @@
     _failure_domain: str
     _region: str
     _down_s: float
+    _lifetime_s: float
     _made: int = 0
     _own: list[_OwnRange] = attrs.field(factory=list)
     _started_at: float = attrs.field(factory=time.monotonic)
@@ -113,13 +113,24 @@
         return True
 
     async def _renew(self) -> None:
-        oldest = time.monotonic() - _RANGE_LIFETIME_S
-        self._own = [own for own in self._own if own.made_at > oldest]
-        ready = [own for own in self._own if self._is_usable(own.range_id)]
-        views = self._follower.state.views
+        oldest = time.monotonic() - self._lifetime_s
+        ready = [
+            own
+            for own in self._own
+            if own.made_at > oldest and self._is_usable(own.range_id)
+        ]
         backups = {
-            name for own in ready for name in views[own.range_id].members[1:]
+            name for own in ready for name in self._backups(own.range_id)
         }
+        # While the log is away nothing replaces a range, however old, so it
+        # stays until a newer one has its backup.
+        self._own = [
+            own
+            for own in self._own
+            if own.made_at > oldest
+            or not ready
+            or self._backups(own.range_id) - backups
+        ]
         backup = self._choose_backup(backups)
         if backup is not None and len(backups) < _RANGES_WANTED:
             await self._make_range((self._register.incarnation, backup))
@@ -128,6 +139,10 @@
         if not ready and backup is None and alone_s > _ALONE_WAIT_S:
             await self._make_range((self._register.incarnation,))
 
+    def _backups(self, range_id: str) -> set[str]:
+        view = self._follower.state.views.get(range_id)
+        return set(view.members[1:]) if view else set()
+
     def _is_usable(self, range_id: str) -> bool:
         view = self._follower.state.views.get(range_id)
         if view is None or not self._register.holds(range_id):
--- a/wagtailfork/control/follower.py
+++ b/wagtailfork/control/follower.py
@@ -10,7 +10,7 @@
 
 from ..core.errors import WagtailforkError
 from ..core.logs import log_event, log_fault
-from .fold import ControlState, Verdict
+from .fold import ControlState, LogRecord, Verdict
 from .log_client import CONTROL_STREAM, LogClient, Page
 from .snapshots import Folded, LogReader
 
@@ -22,6 +22,16 @@
 _logger = logging.getLogger(__name__)
 
 
+@attrs.frozen(kw_only=True)
+class LogSight:
+    """Say what this VM has seen of the log's ends and its last snapshot."""
+
+    offset: int  # folded so far
+    earliest: int  # kept by the log
+    snapshot: int  # offset of the last one read, -1 before the first
+    snapshot_s: float  # wall time of it, or of this VM's start
+
+
 @attrs.define
 class Follower:
     """Read the control stream and keep the folded state."""
@@ -30,7 +40,9 @@
     _poll_s: float
     reader: LogReader = attrs.field(factory=LogReader)
     read_at: float = _NEVER  # monotonic time of the last whole read
-    records_since_snapshot: int = 0
+    _earliest: int = 0
+    _snapshot: int = -1
+    _snapshot_s: float = attrs.field(factory=time.time)
     _listeners: list[Listener] = attrs.field(factory=list)
     _verdicts: dict[str, asyncio.Future[tuple[int, Verdict]]] = attrs.field(
         factory=dict,
@@ -48,6 +60,15 @@
         """Tell whether the log was once read to its end, here or by a peer."""
         return self._caught_up and self.reader.state is not None
 
+    def sight(self) -> LogSight:
+        """Give what was seen of the log."""
+        return LogSight(
+            offset=self.state.offset,
+            earliest=self._earliest,
+            snapshot=self._snapshot,
+            snapshot_s=self._snapshot_s,
+        )
+
     def age_s(self) -> float:
         """Give the seconds since the log was last read to its end."""
         return time.monotonic() - self.read_at
@@ -78,6 +99,8 @@
         known = self.ready
         self.reader.adopt(state)
         self._caught_up = True
+        # The peers see to snapshots of what came before.
+        self._snapshot = max(self._snapshot, self.state.offset)
         if known and self.state.offset == before:
             return False
         log_event(_logger, 'state_adopted', offset=self.state.offset)
@@ -106,13 +129,12 @@
     def _take(self, page: Page) -> None:
         folds: dict[int, Folded] = {}
         first_time = False
+        self._earliest = page.earliest
         if self.reader.state is None and page.next == 0:
             self.reader.state = ControlState()
         for entry in page.records:
             folds.update(self.reader.push(entry))
-            self.records_since_snapshot += 1
-            if isinstance(entry.record, dict):
-                self._count_snapshot(entry.record.get('kind'))
+            self._note_snapshot(entry)
             self._resolve(entry.offset, entry.record, folds)
         if self.reader.next_offset() >= page.next and not self.reader.in_gap:
             self.read_at = time.monotonic()
@@ -121,9 +143,11 @@
         if page.records or first_time:
             self._publish()
 
-    def _count_snapshot(self, kind: object) -> None:
-        if kind == 'snapshot':
-            self.records_since_snapshot = 0
+    def _note_snapshot(self, entry: LogRecord) -> None:
+        record = entry.record
+        if isinstance(record, dict) and record.get('kind') == 'snapshot':
+            self._snapshot = entry.offset
+            self._snapshot_s = entry.time_ms / 1000
 
     def _resolve(
         self,
--- a/wagtailfork/control/views.py
+++ b/wagtailfork/control/views.py
@@ -14,7 +14,8 @@
 from ..core.errors import WagtailforkError
 from ..core.results import ResultCode
 
-VIEW_LIFETIME_MS: Final = 3 * 60 * 60 * 1000
+_HOURS: Final = 12  # longer than the outages that ranges must outlast
+VIEW_LIFETIME_MS: Final = _HOURS * 60 * 60 * 1000
 
 
 @attrs.frozen(kw_only=True)
--- a/wagtailfork/core/settings.py
+++ b/wagtailfork/core/settings.py
@@ -36,6 +36,7 @@
     caller_stall_s: float = attrs.field(default=30.0, validator=_POSITIVE)
     traffic_flush_s: float = attrs.field(default=10.0, validator=_POSITIVE)
     key_slot_s: float = attrs.field(default=60.0, validator=_POSITIVE)
+    range_lifetime_s: float = attrs.field(default=3600.0, validator=_POSITIVE)
     snapshot_every_s: float = attrs.field(default=600.0, validator=_POSITIVE)
 
 
--- a/wagtailfork/node/entry.py
+++ b/wagtailfork/node/entry.py
@@ -11,7 +11,7 @@
 from ..control.follower import Follower
 from ..control.log_client import LogClient
 from ..control.publisher import Publisher
-from ..control.snapshotter import Snapshotter
+from ..control.snapshotter import SnapshotPlan, Snapshotter
 from ..core.lifecycle import Lifecycle, Step
 from ..core.logs import log_event
 from ..core.server import HttpServer, bind
@@ -132,8 +132,10 @@
         self.snapshotter = Snapshotter(
             self.follower,
             self.publisher,
-            cfg.snapshot_every_records,
-            timing.snapshot_every_s,
+            SnapshotPlan(
+                every_records=cfg.snapshot_every_records,
+                every_s=timing.snapshot_every_s,
+            ),
         )
         self.vm_list = VmListFollower(
             cfg.vm_list_url,
@@ -166,6 +168,7 @@
             cfg.failure_domain,
             cfg.region,
             cfg.timing.peer_down_s,
+            cfg.timing.range_lifetime_s,
         )
 
     def _build_data_path(self) -> None:
--- a/wagtailfork/tests/test_outage.py
+++ b/wagtailfork/tests/test_outage.py
@@ -1,14 +1,20 @@
 """Prove tickets and traffic through outages of the log."""
 
 import asyncio
+import collections
 
 import testtools
 
-from .rig import Entry, Rig
+from .rig import FAST, Entry, Rig
 from .rig_tools import HOST, until
 from .scenes import burst, customer_ticket, everywhere
 
 
+OUTAGE_STEPS = 24
+OUTAGE_STEP_S = 0.5  # in all, four lives of a range and more than its keys'
+KILL_STEP = 20
+
+
 class OutageTest(testtools.TestCase):
     """Take the platform's log away for long."""
 
@@ -24,6 +30,59 @@
         """Accept one of two tickets with one number, over lost answers."""
         asyncio.run(self._race())
 
+    def test_retention_passes_during_an_outage(self) -> None:
+        """Regression: nobody replaced a snapshot that retention took."""
+        asyncio.run(self._retention())
+
+    def test_outage_outlasts_ranges_and_keys(self) -> None:
+        """Regression: ranges expired while the log could not replace them."""
+        asyncio.run(self._outlast())
+
+    async def _retention(self) -> None:
+        async with Rig() as rig:
+            ticket = customer_ticket(2, 'kept')
+            self.assertEqual(200, (await rig.submit(ticket))[0])
+            old = list(rig.entries)
+            await until(lambda: everywhere(rig, old, 'kept'))
+            await rig.log_faults(outage=True)
+            trimming = f'{HOST}:{rig.log_port}/trim/control'
+            await rig.post(trimming, {'keep': 0})
+            await rig.log_faults()
+            await until(lambda: _has_snapshot(rig))
+            for entry in old:
+                await rig.kill(entry)
+            rig.entries = []
+            for number in range(3):
+                await rig.add_entry(f'new-{number}', 'hobart-a')
+            await rig.list_vms()
+            for entry in rig.entries:
+                await rig.until_serving(entry)
+            await until(lambda: everywhere(rig, rig.entries, 'kept'))
+
+    async def _outlast(self) -> None:
+        timing = {**FAST, 'range_lifetime_s': 3.0, 'key_slot_s': 0.5}
+        async with Rig(timing=timing) as rig:
+            await until(rig.has_spare_ranges)
+            await rig.log_faults(outage=True)
+            keys: list[str] = []
+            kinds: set[str] = set()
+            for number in range(OUTAGE_STEPS):
+                await asyncio.sleep(OUTAGE_STEP_S)
+                if number == KILL_STEP:
+                    await rig.kill(rig.entries.pop())
+                    await until(lambda: self._pays(rig, rig.entries[0]))
+                for named in await rig.directory(rig.entries[0]):
+                    keys.append(f'{named["key_prefix"]}long-{number}')
+                    reply = await rig.call(
+                        rig.entries[number % 2],
+                        'POST',
+                        idempotency_key=keys[-1],
+                    )
+                    kinds.add(reply.kind)
+            self.assertEqual({'ran'}, kinds)
+            runs = collections.Counter(run['key'] for run in await rig.runs())
+            self.assertEqual([1] * len(keys), [runs[key] for key in keys])
+
     async def _outage(self) -> None:
         async with Rig() as rig:
             await until(rig.has_spare_ranges)
@@ -71,13 +130,7 @@
                 ticket = customer_ticket(number, f'c{number}')
                 self.assertEqual(200, (await rig.submit(ticket))[0])
 
-            async def has_snapshot() -> bool:
-                url = f'{HOST}:{rig.log_port}/streams/control/records?from=0'
-                raw = await rig.get(url)
-                kinds = [it['record']['kind'] for it in raw['records']]
-                return 'snapshot' in kinds[-4:]
-
-            await until(has_snapshot)
+            await until(lambda: _has_snapshot(rig))
             await rig.post(f'{HOST}:{rig.log_port}/trim/control', {'keep': 4})
             old = list(rig.entries)
             for entry in old:
@@ -123,3 +176,10 @@
             self.assertEqual(200, (await waiting)[0])
             stale = await rig.submit(customer_ticket(1, 'race'))
             self.assertEqual(5002, stale[1]['code'])
+
+
+async def _has_snapshot(rig: Rig) -> bool:
+    url = f'{HOST}:{rig.log_port}/streams/control/records?from=0'
+    raw = await rig.get(url)
+    kinds = [entry['record']['kind'] for entry in raw['records']]
+    return 'snapshot' in kinds[-4:]
