Hand a range's table over at a planned departure

Cause: views only shrink. In a rolling replacement the backup of a range leaves, then its home; the range ended and re-sends of keys that ran got 4005. Ruled out: copying tables at failures too, which needs a learner state; a longer drain, which does not outlast 15 minutes of keys. Change: a VM that alone holds a range vows to grant no more, sends the table to two others, and then names them in the log; they open the range only with that table. Conclusion: a sudden death of a range's only member stays 'unknown'.

--- a/wagtailfork/claims/keeper.py
+++ b/wagtailfork/claims/keeper.py
@@ -23,6 +23,7 @@
 _CHECK_S: Final = 0.25
 _PUBLISH_WAIT_S: Final = 5.0
 _RANGES_WANTED: Final = 2  # with different backups
+_HEIRS: Final = 2
 _ALONE_WAIT_S: Final = 2.0  # before settling for a range with no backup
 
 _logger = logging.getLogger(__name__)
@@ -89,7 +90,27 @@
                 for name in view.members
                 if name != self._register.incarnation
             )
-            await self._propose(range_id, view.number, others)
+            if others or self._register.is_empty(range_id):
+                await self._propose(range_id, view.number, others)
+            else:
+                await self._hand_over(range_id, view)
+
+    async def _hand_over(self, range_id: str, view: View) -> None:
+        """Leave a range that nobody else holds to two other VMs."""
+        targets: list[str] = []
+        while len(targets) < _HEIRS:
+            heir = self._choose_backup(set(targets))
+            if heir is None:
+                break
+            targets.append(heir)
+        heirs = await self._register.hand_over(range_id, targets)
+        if heirs:
+            await self._propose(
+                range_id,
+                view.number,
+                tuple(heirs),
+                handover=True,
+            )
 
     async def _shrink(self, range_id: str, view: View) -> None:
         if self._register.incarnation not in view.members:
@@ -189,12 +210,15 @@
         range_id: str,
         previous: int,
         members: tuple[str, ...],
+        *,
+        handover: bool = False,
     ) -> bool:
         change = ViewChange(
             range_id=range_id,
             previous=previous,
             proposer=self._register.incarnation,
             members=members,
+            handover=handover,
         )
         try:
             _offset, verdict = await self._publisher.publish(
--- a/wagtailfork/claims/register.py
+++ b/wagtailfork/claims/register.py
@@ -22,6 +22,7 @@
     Replicate,
     Settle,
 )
+from .handover import HeldRange, IncomingTables, split_table
 from .keys import IdempotencyKey
 from .table import Answer, ClaimState, ClaimTable, Decision
 
@@ -46,20 +47,6 @@
         return f'{self.customer}/{self.key.suffix}'
 
 
-@attrs.define
-class HeldRange:
-    """Hold a range's claims with the clock of its slots."""
-
-    table: ClaimTable
-    first_slot: int
-    started_at: float
-
-    def slot(self, slot_s: float) -> int:
-        """Give the present slot."""
-        passed = time.monotonic() - self.started_at
-        return self.first_slot + int(passed / slot_s)
-
-
 @attrs.define
 class Register:
     """Decide claims as a range's primary and keep them as its member."""
@@ -71,35 +58,81 @@
     _timeout_s: float
     _ranges: dict[str, HeldRange] = attrs.field(factory=dict)
     _dropped: set[str] = attrs.field(factory=set)
+    incoming: IncomingTables = attrs.field(init=False)
+    _handed_to: dict[str, list[str]] = attrs.field(factory=dict)
     _settling: set[asyncio.Task[None]] = attrs.field(factory=set)
 
+    def __attrs_post_init__(self) -> None:
+        """Take tables that are addressed to this incarnation."""
+        self.incoming = IncomingTables(self.incarnation)
+
     def on_state(self, state: ControlState) -> None:
         """Hold a table for just the ranges whose view names this VM.
 
         An empty table is right at first sight: no claim was ever granted
-        without this member's acknowledgement.
+        without this member's acknowledgement. After a handover only the
+        table that was handed over is right.
         """
         mine = {
-            range_id
+            range_id: view
             for range_id, view in state.views.items()
             if self.incarnation in view.members
         }
-        for range_id in mine - set(self._ranges) - self._dropped:
-            self._ranges[range_id] = HeldRange(
-                ClaimTable(),
-                0,
-                time.monotonic(),
-            )
-        for range_id in set(self._ranges) - mine:
-            self._ranges.pop(range_id)
-            # A birth record appended again late must not open it anew.
-            self._dropped.add(range_id)
+        for range_id, view in mine.items():
+            held = self._ranges.get(range_id)
+            if held is None or held.handovers != view.handovers:
+                self._open(range_id, view)
+        for gone in set(self._ranges) - set(mine):
+            self._drop(gone)
+
+    def _open(self, range_id: str, view: View) -> None:
+        if view.handovers:
+            handed = self.incoming.take(range_id, view.handovers)
+            if handed is None:
+                self._drop(range_id)
+            else:
+                self._ranges[range_id] = handed
+            return
+        if range_id not in self._dropped:
+            now = time.monotonic()
+            self._ranges[range_id] = HeldRange(ClaimTable(), 0, now)
+
+    def _drop(self, range_id: str) -> None:
+        self._ranges.pop(range_id, None)
+        # A birth record appended again late must not open it anew.
+        self._dropped.add(range_id)
+
+    async def hand_over(self, range_id: str, targets: list[str]) -> list[str]:
+        """Send a range's table to its next members; name those that have it.
+
+        This VM never grants a key of the range again, whatever comes of it.
+        """
+        held = self._ranges[range_id]
+        self._handed_to[range_id] = []
+        slot_now = held.slot(self._slot_s)
+        for target in targets:
+            try:
+                for part in split_table(target, range_id, held, slot_now):
+                    await self._call(target, part)
+            except WagtailforkError as exc:
+                log_fault(_logger, 'hand_over', to=target, error=exc.detail)
+                continue
+            self._handed_to[range_id].append(target)
+        return self._handed_to[range_id]
 
     def current_slot(self, range_id: str) -> int:
         """Give the slot for a prefix issued now."""
         held = self._ranges[range_id]
         return held.slot(self._slot_s)
 
+    def is_empty(self, range_id: str) -> bool:
+        """Tell whether no key of a range is on record here."""
+        held = self._ranges.get(range_id)
+        if held is None:
+            return True
+        held.table.raise_floor(held.slot(self._slot_s) - KEPT_SLOTS)
+        return len(held.table) == 0
+
     def holds(self, range_id: str) -> bool:
         """Tell whether this VM is a member of the range."""
         return range_id in self._ranges
@@ -148,6 +181,8 @@
             raise WagtailforkError(ResultCode.wrong_incarnation, req.primary)
         if view.primary() != self.incarnation:
             raise WagtailforkError(ResultCode.stale_view, req.range_id)
+        if req.range_id in self._handed_to:
+            raise WagtailforkError(ResultCode.range_unreachable, req.range_id)
         slot_now = held.slot(self._slot_s)
         held.table.raise_floor(slot_now - KEPT_SLOTS)
         if req.slot > slot_now:
@@ -180,6 +215,12 @@
     async def serve_settle(self, req: Settle) -> Ack:
         """Record how a claimed request ended."""
         held = self._ranges.get(req.range_id)
+        held = held or self.incoming.find(req.range_id)
+        handed_to = self._handed_to.get(req.range_id, [])
+        for target in handed_to:
+            self._settle_later(target, attrs.evolve(req, member=target))
+        if handed_to and held is None:
+            return Ack()
         if req.member != self.incarnation or held is None:
             raise WagtailforkError(ResultCode.wrong_incarnation, req.member)
         if req.state == ClaimState.pending:
@@ -220,9 +261,12 @@
                 content_type=answer.content_type,
                 body=answer.body,
             )
-            task = asyncio.create_task(self._settle_at(member, req))
-            self._settling.add(task)
-            task.add_done_callback(self._settling.discard)
+            self._settle_later(member, req)
+
+    def _settle_later(self, member: str, req: Settle) -> None:
+        task = asyncio.create_task(self._settle_at(member, req))
+        self._settling.add(task)
+        task.add_done_callback(self._settling.discard)
 
     async def settled(self) -> None:
         """Wait until every settlement was delivered or given up."""
--- a/wagtailfork/claims/table.py
+++ b/wagtailfork/claims/table.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+from collections.abc import Iterator
 from typing import Final
 
 import attrs
@@ -84,6 +85,16 @@
         """Find the claim on a key."""
         return self._slots.get(slot, {}).get(key)
 
+    def entries(self) -> Iterator[tuple[int, str, Claim]]:
+        """Give every claim with its slot and key."""
+        for slot, keys in self._slots.items():
+            for key, claim in keys.items():
+                yield slot, key, claim
+
+    def put(self, slot: int, key: str, claim: Claim) -> None:
+        """Take a claim as another member held it."""
+        self._slots.setdefault(slot, {})[key] = claim
+
     def claim(
         self,
         slot: int,
--- a/wagtailfork/claims/tests/test_register.py
+++ b/wagtailfork/claims/tests/test_register.py
@@ -15,7 +15,7 @@
 )
 
 from ...control.fold import ControlState
-from ...control.views import ViewChange, apply_view_change
+from ...control.views import View, ViewChange, apply_view_change
 from ...core.errors import WagtailforkError
 from ...core.results import ResultCode
 from ...peers import messages
@@ -163,7 +163,25 @@
         waiting[pick % len(waiting)].fut.set_exception(LOST)
         self._settle_down()
 
-    @rule(member=st.sampled_from(HOMES[:2]))
+    @rule(member=st.sampled_from(HOMES))
+    def hand_over(self, member: str) -> None:
+        """Let a member that is alone hand its table to the others."""
+        view = self.followers[member].state.views.get(RANGE)
+        register = self.registers[member]
+        if view is None or view.members != (member,):
+            return
+        if not register.holds(RANGE):
+            return
+        task = self.loop.create_task(self._hand_over(member, view.number))
+        self.tasks.append(task)
+        self._settle_down()
+
+    async def _hand_over(self, member: str, number: int) -> None:
+        targets = [name for name in HOMES if name != member]
+        heirs = await self.registers[member].hand_over(RANGE, targets)
+        self._append(number, member, tuple(heirs), handover=True)
+
+    @rule(member=st.sampled_from(HOMES))
     def shrink(self, member: str) -> None:
         """Let one member propose a view without the other."""
         view = self.followers[member].state.views.get(RANGE)
@@ -209,6 +227,9 @@
                 flight.reply = await register.serve_claim(message)
             elif isinstance(message, messages.Replicate):
                 flight.reply = await register.serve_replicate(message)
+            elif isinstance(message, messages.HandOver):
+                register.incoming.receive(message)
+                flight.reply = messages.Ack()
             elif isinstance(message, messages.Settle):
                 flight.reply = await register.serve_settle(message)
         except WagtailforkError as exc:
@@ -219,12 +240,15 @@
         previous: int,
         proposer: str,
         members: tuple[str, ...],
+        *,
+        handover: bool = False,
     ) -> None:
         change = ViewChange(
             range_id=RANGE,
             previous=previous,
             proposer=proposer,
             members=members,
+            handover=handover,
         )
         try:
             self.log.append(apply_view_change(self.log[-1], change, 0))
@@ -260,6 +284,35 @@
         return messages.Ack()
 
 
+class GrantingRegister(Register):
+    """Grant on while the table goes over."""
+
+    async def serve_claim(self, req: messages.ClaimRequest) -> Any:
+        """Forget the vow."""
+        self._handed_to.pop(req.range_id, None)
+        return await super().serve_claim(req)
+
+
+class EmptyHandedRegister(Register):
+    """Open a range that was handed over with an empty table."""
+
+    def _open(self, range_id: str, view: View) -> None:
+        self._dropped.discard(range_id)
+        super()._open(range_id, attrs.evolve(view, handovers=0))
+
+
+class GrantingMachine(ClaimMachine):
+    """Run the same events without the vow."""
+
+    register_class = GrantingRegister
+
+
+class EmptyHandedMachine(ClaimMachine):
+    """Run the same events without the handed table."""
+
+    register_class = EmptyHandedRegister
+
+
 class ForgetfulMachine(ClaimMachine):
     """Run the same events without acknowledgements."""
 
@@ -284,6 +337,26 @@
     machine.at_most_once()
 
 
+def claim_across_handover(machine: ClaimMachine) -> None:
+    """Claim before, during and after a handover by the home."""
+    home = HOMES[0]
+    machine.shrink(home)
+    machine.fold(home)
+    machine.claim(home, 'k')
+    machine.hand_over(home)
+    while machine.flights:
+        machine.deliver(0)
+    machine.claim(home, 'm')
+    for name in HOMES[1:]:
+        machine.fold(name)
+        machine.fold(name)
+    for key in ('k', 'm'):
+        machine.claim(HOMES[1], key)
+        while machine.flights:
+            machine.deliver(0)
+        machine.at_most_once()
+
+
 def explore(machine: type[ClaimMachine], examples: int) -> None:
     """Explore a fixed sequence of histories."""
     run_state_machine_as_test(
@@ -324,6 +397,25 @@
         self.assertEqual([0, 0], slots)
         machine.teardown()
 
+    def test_handover_keeps_every_claim(self) -> None:
+        """Grant old keys never again and new keys at the next member."""
+        machine = ClaimMachine()
+        claim_across_handover(machine)
+        self.assertEqual({'k': 1, 'm': 1}, machine.dispatches)
+        machine.teardown()
+
+    def test_without_the_vow_it_breaks(self) -> None:
+        """Find the double dispatch when the leaving VM still grants."""
+        machine = GrantingMachine()
+        self.assertRaises(AssertionError, claim_across_handover, machine)
+        machine.teardown()
+
+    def test_without_the_handed_table_it_breaks(self) -> None:
+        """Find the double dispatch when the next member knows nothing."""
+        machine = EmptyHandedMachine()
+        self.assertRaises(AssertionError, claim_across_handover, machine)
+        machine.teardown()
+
     def test_old_view_can_not_grant(self) -> None:
         """Refuse a claim that was made before the backup took over."""
         machine = ClaimMachine()
--- a/wagtailfork/control/views.py
+++ b/wagtailfork/control/views.py
@@ -25,6 +25,7 @@
     number: int
     members: tuple[str, ...]  # incarnations
     renewed_ms: int  # time of the record, by the log's clock
+    handovers: int = 0  # how often the members were replaced whole
 
     def primary(self) -> str:
         """Name the incarnation that decides claims."""
@@ -39,6 +40,7 @@
     previous: int
     proposer: str
     members: tuple[str, ...]
+    handover: bool = False  # to members that were sent the last one's table
 
 
 Views = Mapping[str, View]
@@ -66,13 +68,18 @@
             number=change.previous + 1,
             members=change.members,
             renewed_ms=at_ms,
+            handovers=_handovers(current) + change.handover,
         )
     return live
 
 
+def _handovers(current: View | None) -> int:
+    return current.handovers if current else 0
+
+
 def _check_change(current: View | None, change: ViewChange) -> None:
     number = current.number if current else 0
-    if change.previous != number:
+    if change.previous != number or (change.handover and not current):
         raise WagtailforkError(
             ResultCode.view_conflict,
             f'{change.range_id} is at view {number}',
@@ -80,6 +87,9 @@
     if current is None:
         _check_birth(change)
         return
+    if change.handover:
+        _check_handover(current, change)
+        return
     outside = set(change.members) - set(current.members)
     if outside or change.proposer not in current.members:
         # A member that joined later would not know the claims made before.
@@ -96,3 +106,17 @@
             ResultCode.view_conflict,
             f'{change.range_id} must be made by its home',
         )
+
+
+def _check_handover(current: View, change: ViewChange) -> None:
+    # Only one who is alone knows every claim and can vow to grant no more.
+    if current.members != (change.proposer,):
+        raise WagtailforkError(
+            ResultCode.view_conflict,
+            f'{change.range_id} has members {current.members}',
+        )
+    if not change.members or change.proposer in change.members:
+        raise WagtailforkError(
+            ResultCode.view_conflict,
+            f'{change.range_id} is handed to {change.members}',
+        )
--- a/wagtailfork/node/handlers.py
+++ b/wagtailfork/node/handlers.py
@@ -70,6 +70,15 @@
     return await node.register.serve_settle(message)
 
 
+@handle.register(messages.HandOver)
+async def _handle_hand_over(
+    message: messages.HandOver,
+    node: 'EntryNode',
+) -> Message:
+    node.register.incoming.receive(message)
+    return messages.Ack()
+
+
 @handle.register(messages.Strike)
 async def _handle_strike(
     message: messages.Strike,
--- a/wagtailfork/peers/messages.py
+++ b/wagtailfork/peers/messages.py
@@ -92,6 +92,32 @@
     body: bytes = b''
 
 
+@attrs.frozen(kw_only=True)
+class HandedClaim:
+    """Carry one claim of a table that is handed over."""
+
+    slot: int
+    key: str
+    digest: str
+    state: str
+    status: int = 0
+    content_type: str = ''
+    body: bytes = b''
+
+
+@attrs.frozen(kw_only=True)
+class HandOver:
+    """Carry a part of a range's table to a member of its next view."""
+
+    member: str
+    range_id: str
+    slot_now: int
+    floor: int
+    claims: list[HandedClaim]
+    is_first: bool
+    is_last: bool
+
+
 @attrs.frozen(kw_only=True)
 class Ack:
     """Accept or refuse a message, with the result code when refused."""
@@ -198,6 +224,7 @@
     | ClaimReply
     | Replicate
     | Settle
+    | HandOver
     | Ack
     | Strike
     | Absolve
--- a/wagtailfork/tests/test_at_most_once.py
+++ b/wagtailfork/tests/test_at_most_once.py
@@ -1,6 +1,7 @@
 """Prove at most once over kills, freezes, cuts, outages and re-sends."""
 
 import asyncio
+import contextlib
 import random
 import signal
 
@@ -13,6 +14,7 @@
 KEYS = 150
 SENDS_PER_KEY = 6
 SETTLE_S = 3.0
+DEPART_S = 6.0
 
 
 @attrs.define
@@ -88,18 +90,21 @@
         self.sends.append(Send(key, body, request_id, reply))
 
     async def _cause_faults(self) -> None:
+        faults = (
+            self._freeze,
+            self._restart,
+            self._replace,
+            self._cut_peer,
+            self._drop_answers,
+            self._log_outage,
+            self._shed,
+        )
+        # Each comes once before chance decides, the shed first.
+        order = [*self.rng.sample(faults[:-1], len(faults) - 1), faults[-1]]
         while not self.stopping:
             entry = self.rng.choice(self.rig.entries)
-            await self.rng.choice(
-                (
-                    self._freeze,
-                    self._restart,
-                    self._cut_peer,
-                    self._drop_answers,
-                    self._shed,
-                    self._log_outage,
-                )
-            )(entry)
+            fault = order.pop() if order else self.rng.choice(faults)
+            await fault(entry)
             await asyncio.sleep(self.rng.random() * 0.3)
         await self.rig.log_faults()
 
@@ -113,6 +118,17 @@
         await self.rig.start_entry(entry)
         await asyncio.sleep(1)
 
+    async def _replace(self, entry: Entry) -> None:
+        """Stop a VM as planned while something else goes wrong."""
+        self.rig.signal(entry, signal.SIGTERM)
+        others = [each for each in self.rig.entries if each is not entry]
+        fault = self.rng.choice((self._freeze, self._cut_peer))
+        await fault(self.rng.choice(others))
+        assert entry.proc is not None
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(entry.proc.wait(), DEPART_S)
+        await self._restart(entry)
+
     async def _cut_peer(self, entry: Entry) -> None:
         entry.relay.cut()
         await asyncio.sleep(self.rng.random() * 1.5)
