Charge and pace bytes over the paid link as they pass

Cause: the link's budget was charged when an exchange ended, so uploads begun together all passed it. Ruled out: refusing long uploads; admission alone, which can't know sizes. Change: heads and chunks are charged as they pass and bodies wait between chunks; copies without an answer are not told across the link.

--- a/wagtailfork/node/dump.py
+++ b/wagtailfork/node/dump.py
@@ -82,6 +82,7 @@
     return [
         {
             'name': each.name,
+            'address': each.backend.address,
             'state': each.state,
             'in_flight': each.in_flight,
             'allowance': each.allowance(),
--- a/wagtailfork/node/suspicion.py
+++ b/wagtailfork/node/suspicion.py
@@ -38,4 +38,5 @@
         if not self._bucket.take(time.monotonic()):
             return
         running = Running(fingerprint=fingerprint, backend=backend)
-        await self._mesh.broadcast(running, _TIMEOUT_S)
+        # The paid link carries strikes, which are rare, and not these.
+        await self._mesh.broadcast(running, _TIMEOUT_S, far=False)
--- a/wagtailfork/peers/link.py
+++ b/wagtailfork/peers/link.py
@@ -63,10 +63,14 @@
         """Tell whether the peer answers."""
         return self.state == 'up'
 
+    @property
+    def is_far(self) -> bool:
+        """Tell whether the peer is in another region."""
+        return self.peer is not None and self.peer.region != self._region
+
     def period_s(self) -> float:
         """Give the time between heartbeats, longer to another region."""
-        is_far = self.peer is not None and self.peer.region != self._region
-        if is_far:
+        if self.is_far:
             return self._heartbeat_s * FAR_FACTOR
         return self._heartbeat_s
 
--- a/wagtailfork/peers/mesh.py
+++ b/wagtailfork/peers/mesh.py
@@ -80,9 +80,19 @@
             self._links.pop(address)
             self._tasks.pop(address).cancel()
 
-    async def broadcast(self, message: Message, timeout_s: float) -> int:
-        """Send to every peer that is up and count the replies."""
-        calls = [link.call(message, timeout_s) for link in self.up_links()]
+    async def broadcast(
+        self,
+        message: Message,
+        timeout_s: float,
+        *,
+        far: bool = True,
+    ) -> int:
+        """Send to every peer that is up and count the replies.
+
+        Peers of other regions are left out where ``far`` is false.
+        """
+        links = [link for link in self.up_links() if far or not link.is_far]
+        calls = [link.call(message, timeout_s) for link in links]
         replies = await asyncio.gather(*calls, return_exceptions=True)
         return sum(isinstance(reply, Ack) for reply in replies)
 
--- a/wagtailfork/proxy/exchange.py
+++ b/wagtailfork/proxy/exchange.py
@@ -7,6 +7,7 @@
 from aiohttp import ClientResponse
 
 from ..claims.table import Answer
+from ..routing.budget import LinkBudget
 from ..routing.endpoint import Endpoint
 from ..routing.upstream import STALL_TIMEOUT_S
 
@@ -28,6 +29,7 @@
     response: ClientResponse
     sent_at: float
     fingerprint: str = ''
+    far_link: LinkBudget | None = None  # where the answer crosses regions
     first: bytes = b''  # the part of the body that is already read
     whole: bool = False  # whether ``first`` is the whole body
 
@@ -37,7 +39,10 @@
         Raise TimeoutError when the server has gone silent within it.
         """
         async with asyncio.timeout(STALL_TIMEOUT_S):
-            return await self.response.content.readany()
+            chunk = await self.response.content.readany()
+        if self.far_link is not None:
+            await self.far_link.pay(len(chunk))
+        return chunk
 
     async def read_first(self, limit: int) -> None:
         """Read the body up to a little over ``limit`` bytes."""
--- a/wagtailfork/proxy/front.py
+++ b/wagtailfork/proxy/front.py
@@ -51,7 +51,6 @@
     stall_s: float
     bytes_in: int = 0
     bytes_out: int = 0
-    head_bytes: int = 0  # of both heads, for the link between regions
     request_id: str = ''
     customer: str = ''
     service: str = ''
@@ -127,7 +126,6 @@
     async def _answer(self, scope: Scope, call: _Call) -> None:
         req = parse_head(_head(scope), self._default_deadline_s)
         call.request_id = req.request_id
-        call.head_bytes = names.size(req.headers)
         service = await self._check(call, req)
         call.customer = req.customer
         call.service = req.service
@@ -181,13 +179,10 @@
                 repr(exc),
             ) from exc
         finally:
-            crossed = call.bytes_in + call.bytes_out + call.head_bytes
-            self._sender.charge(exchange, crossed)
             await self._sender.finish(exchange, ending)
 
     async def _stream(self, call: _Call, exchange: Exchange) -> None:
         response = exchange.response
-        call.head_bytes += names.size(response.headers.items())
         headers = names.returned(response.headers.items())
         headers.extend(self._own_headers(call, ResultCode.ok))
         headers.append((names.BACKEND, exchange.endpoint.name))
--- a/wagtailfork/proxy/sender.py
+++ b/wagtailfork/proxy/sender.py
@@ -14,10 +14,12 @@
 from ..core.logs import log_event
 from ..core.results import ResultCode
 from ..routing.admission import Admission
+from ..routing.budget import LinkBudget
 from ..routing.endpoint import Endpoint
 from ..routing.pool import Pool
 from ..routing.placement import Placement
 from ..routing.upstream import (
+    STALL_TIMEOUT_S,
     FailureKind,
     StreamedBody,
     Upstream,
@@ -87,7 +89,16 @@
             self._placement.unanswered.end(req.fingerprint, endpoint.name)
             raise
         await self._note_answer(req.fingerprint)
-        return Exchange(endpoint, response, sent_at, req.fingerprint)
+        far_link = self._far_link(endpoint)
+        if far_link is not None:
+            await far_link.pay(names.size(response.headers.items()))
+        return Exchange(
+            endpoint,
+            response,
+            sent_at,
+            req.fingerprint,
+            far_link,
+        )
 
     async def _note_answer(self, fingerprint: str) -> None:
         was_told = self._placement.unanswered.answered(fingerprint)
@@ -102,13 +113,21 @@
         service: Service,
         endpoint: Endpoint,
     ) -> ClientResponse:
-        remaining_s = req.deadline - time.monotonic()
+        sent_at = time.monotonic()
+        remaining_s = req.deadline - sent_at
         if remaining_s <= 0:
             raise WagtailforkError(ResultCode.deadline_passed, req.request_id)
         limit_s = remaining_s
-        if req.method not in service.once_methods:
+        if not req.body.is_whole:
+            # A body may wait for the paid link before its first part moves.
+            limit_s = min(remaining_s, STALL_TIMEOUT_S)
+        elif req.method not in service.once_methods:
             limit_s = min(remaining_s, service.first_byte_s)
-        sent = _upstream_request(req, remaining_s)
+        far_link = self._far_link(endpoint)
+        sent = _upstream_request(req, remaining_s, far_link)
+        if far_link is not None:
+            head_size = len(sent.target) + names.size(sent.headers)
+            far_link.charge(head_size + _held_size(sent), sent_at)
         try:
             return await self._upstream.send(endpoint, sent, limit_s)
         except asyncio.CancelledError:
@@ -195,12 +214,9 @@
             response.release()
             raise WagtailforkError(ResultCode.backend_shed, endpoint.name)
 
-    def charge(self, exchange: Exchange, size: int) -> None:
-        """Count bytes of an exchange against the link it crosses."""
-        far_link = self._admission.far_link
-        region = exchange.endpoint.backend.region
-        if far_link is not None and region != self._pool.region:
-            far_link.charge(size, time.monotonic())
+    def _far_link(self, endpoint: Endpoint) -> LinkBudget | None:
+        is_near = endpoint.backend.region == self._pool.region
+        return None if is_near else self._admission.far_link
 
     async def finish(self, exchange: Exchange, ending: Ending) -> None:
         """End an exchange whose answer was passed on, whole or not."""
@@ -232,6 +248,7 @@
 def _upstream_request(
     req: CallerRequest,
     remaining_s: float,
+    far_link: LinkBudget | None,
 ) -> UpstreamRequest:
     headers = names.forwarded(req.headers)
     headers = [pair for pair in headers if pair[0] != names.REQUEST_ID]
@@ -243,14 +260,33 @@
         method=req.method,
         target=req.target,
         headers=headers,
-        body=_outgoing(req.body),
+        body=_outgoing(req.body, far_link),
     )
 
 
-def _outgoing(body: Body) -> bytes | StreamedBody:
+def _held_size(sent: UpstreamRequest) -> int:
+    return len(sent.body) if isinstance(sent.body, bytes) else 0
+
+
+def _outgoing(
+    body: Body,
+    far_link: LinkBudget | None,
+) -> bytes | StreamedBody:
     if body.rest is None:
         return body.first
-    return StreamedBody(_joined(body))
+    chunks = _joined(body)
+    if far_link is not None:
+        chunks = _paced(chunks, far_link)
+    return StreamedBody(chunks)
+
+
+async def _paced(
+    chunks: AsyncIterator[bytes],
+    far_link: LinkBudget,
+) -> AsyncIterator[bytes]:
+    async for chunk in chunks:
+        await far_link.pay(len(chunk))
+        yield chunk
 
 
 async def _joined(body: Body) -> AsyncIterator[bytes]:
--- a/wagtailfork/routing/budget.py
+++ b/wagtailfork/routing/budget.py
@@ -1,5 +1,7 @@
 """Budgets for retries and for the link between regions."""
 
+import asyncio
+import time
 from typing import Final
 
 import attrs
@@ -43,12 +45,13 @@
     """Bound the bytes a second that this VM sends to other regions.
 
     Bytes are charged as they pass, headers included, so the level may fall
-    below zero; the link is closed to new requests until it has recovered.
+    below zero; the link is closed to new requests until it has recovered,
+    and bodies under way wait between their chunks.
 
     >>> budget = LinkBudget(bytes_per_s=100)
     >>> budget.charge(250, now=0)
-    >>> budget.is_open(now=1), budget.is_open(now=2)
-    (False, True)
+    >>> budget.wait_s(now=1), budget.is_open(now=1), budget.is_open(now=2)
+    (0.5, False, True)
     """
 
     bytes_per_s: float
@@ -65,6 +68,18 @@
         self._recover(now)
         return self._level > 0
 
+    def wait_s(self, now: float) -> float:
+        """Give the seconds until the budget is open again."""
+        self._recover(now)
+        return max(0, -self._level) / self.bytes_per_s
+
+    async def pay(self, size: int) -> None:
+        """Count bytes that cross and wait until the budget allows more."""
+        self.charge(size, time.monotonic())
+        wait_s = self.wait_s(time.monotonic())
+        if wait_s > 0:
+            await asyncio.sleep(wait_s)
+
     def charge(self, size: int, now: float) -> None:
         """Count bytes that crossed."""
         self._recover(now)
--- a/wagtailfork/tests/relay.py
+++ b/wagtailfork/tests/relay.py
@@ -18,6 +18,7 @@
     target_port: int
     port: int = 0
     refusing: bool = False
+    passed: int = 0  # bytes, both ways
     _pairs: list[_Pair] = attrs.field(factory=list)
     _server: asyncio.Server | None = None
 
@@ -86,6 +87,7 @@
             while chunk := await reader.read(1 << 16):
                 if pair.silent:
                     continue
+                self.passed += len(chunk)
                 writer.write(chunk)
                 await writer.drain()
         except OSError:
--- a/wagtailfork/tests/rig.py
+++ b/wagtailfork/tests/rig.py
@@ -11,12 +11,11 @@
 import aiohttp
 import attrs
 
+from . import plans
+from .plans import CUSTOMERS, DOMAINS, REGION, Entry
 from .relay import Relay
 from .rig_tools import HOST, Reply, free_port, is_open, until
 
-CUSTOMERS = ('kiosk', 'clerk')
-DOMAINS = ('hobart-a', 'hobart-b')
-REGION = 'south-tas'
 FAST = {
     'heartbeat_s': 0.2,
     'peer_down_s': 0.8,
@@ -28,27 +27,6 @@
 }
 
 
-@attrs.define(eq=False)
-class Entry:
-    """Hold one entry process and its addresses."""
-
-    name: str
-    domain: str
-    ports: tuple[int, int, int]
-    relay: Relay
-    proc: asyncio.subprocess.Process | None = None
-
-    @property
-    def callers(self) -> str:
-        """Give the callers' address."""
-        return f'{HOST}:{self.ports[0]}'
-
-    @property
-    def admin(self) -> str:
-        """Give the administration address."""
-        return f'{HOST}:{self.ports[2]}'
-
-
 @attrs.define(eq=False)
 class Rig:
     """Run a log, a VM list, backend servers and entry VMs as processes."""
@@ -90,7 +68,9 @@
         await self.list_vms()
         for entry in self.entries:
             await self.until_serving(entry)
-        status, answer = await self.submit(self.first_ticket())
+        status, answer = await self.submit(
+            plans.first_ticket(self.backend_ports, self.slots),
+        )
         assert status == 200, answer
         await until(self.all_ready)
 
@@ -146,12 +126,17 @@
             *('--service-ms', str(self.service_ms)),
         )
 
-    async def add_entry(self, name: str, domain: str) -> Entry:
+    async def add_entry(
+        self,
+        name: str,
+        domain: str,
+        region: str = REGION,
+    ) -> Entry:
         """Start one more entry VM behind a relay for its peers."""
         ports = (free_port(), free_port(), free_port())
         relay = Relay(ports[1])
         await relay.start()
-        entry = Entry(name, domain, ports, relay)
+        entry = Entry(name, domain, ports, relay, region)
         self.entries.append(entry)
         await self.start_entry(entry)
         return entry
@@ -160,7 +145,7 @@
         """Start an entry VM's process, as a new incarnation."""
         cfg = {
             'vm': entry.name,
-            'region': REGION,
+            'region': entry.region,
             'failure_domain': entry.domain,
             'caller_address': entry.callers,
             'peer_address': f'{HOST}:{entry.ports[1]}',
@@ -198,52 +183,18 @@
     ) -> None:
         """Publish the VM list."""
         vms = [
-            {
-                'name': entry.name,
-                'role': 'entry',
-                'state': 'leaving' if entry.name in leaving else 'live',
-                'address': entry.callers,
-                'peer_address': f'{HOST}:{entry.relay.port}',
-                'region': REGION,
-                'failure_domain': entry.domain,
-            }
+            plans.entry_vm(entry, is_leaving=entry.name in leaving)
             for entry in self.entries
         ]
         vms.extend(
-            {
-                'name': f'backend-{index}',
-                'role': 'backend',
-                'state': 'leaving',
-                'address': f'{HOST}:{self.backend_ports[index]}',
-            }
+            plans.leaving_backend(index, self.backend_ports[index])
             for index in leaving_backends
         )
         await self.post(f'{HOST}:{self.vms_port}/control', {'vms': vms})
 
-    def first_ticket(self) -> dict[str, Any]:
-        """Make the ticket that sets the service up."""
-        objects: list[dict[str, Any]] = [
-            {'kind': 'service', 'name': 'payvend', 'state': {}},
-        ]
-        for customer in CUSTOMERS:
-            objects.append({'kind': 'customer', 'name': customer, 'state': {}})
-        for index, port in enumerate(self.backend_ports):
-            objects.append(self.backend_object(index, port))
-        return {'ticket': 1, 'operator': 'rig', 'objects': objects}
-
     def backend_object(self, index: int, port: int) -> dict[str, Any]:
         """Make one backend server's object for a ticket."""
-        return {
-            'kind': 'backend',
-            'name': f'payvend.{index}',
-            'state': {
-                'service': 'payvend',
-                'address': f'{HOST}:{port}',
-                'region': REGION,
-                'failure_domain': DOMAINS[index % 2],
-                'slots': self.slots,
-            },
-        }
+        return plans.backend_object(index, port, self.slots)
 
     async def submit(
         self,
