Use the tagged outcomes where a request ends

Cause: Ran, NotRun and Unknown stood unused beside string comparisons of classes. Change: outcome_of() turns an error into its outcome, which decides the key's state (singledispatch), a second server, and the answer's fields. Ruled out: passing outcomes through every layer in place of exceptions. Tests of core, proxy, exchange and the whole path pass.

--- a/wagtailfork/core/__init__.py
+++ b/wagtailfork/core/__init__.py
@@ -1,7 +1,8 @@
 """Concepts shared by every role: results, settings, logs, supervision."""
 
 from .errors import WagtailforkError
-from .results import NotRun, Outcome, Ran, ResultCode, Unknown
+from .outcomes import NotRun, Outcome, Ran, Unknown
+from .results import ResultCode
 
 __all__ = (
     'NotRun',
--- a/wagtailfork/core/results.py
+++ b/wagtailfork/core/results.py
@@ -1,6 +1,5 @@
-"""Numbered result codes and the tagged outcomes of one request."""
+"""Numbered result codes, their classes and HTTP statuses."""
 
-import dataclasses
 import enum
 from typing import Final
 
@@ -124,30 +123,3 @@
     429
     """
     return _HTTP_STATUS.get(code, _INTERNAL_ERROR)
-
-
-@dataclasses.dataclass(frozen=True)
-class Ran:
-    """Report that the request ran once and was answered."""
-
-    status: int
-    code: ResultCode = ResultCode.ok
-
-
-@dataclasses.dataclass(frozen=True)
-class NotRun:
-    """Report that the request did not run and never will."""
-
-    code: ResultCode
-    detail: str = ''
-
-
-@dataclasses.dataclass(frozen=True)
-class Unknown:
-    """Report that nobody here can say whether the request ran."""
-
-    code: ResultCode
-    detail: str = ''
-
-
-Outcome = Ran | NotRun | Unknown
--- a/wagtailfork/proxy/claimant.py
+++ b/wagtailfork/proxy/claimant.py
@@ -1,6 +1,7 @@
 """Claim a request's key before its dispatch and settle it after."""
 
 import secrets
+from functools import singledispatch
 from typing import Final
 
 import attrs
@@ -14,7 +15,8 @@
     Decision,
 )
 from ..core.errors import WagtailforkError
-from ..core.results import ResultCode, result_class
+from ..core.outcomes import NotRun, Ran, outcome_of
+from ..core.results import ResultCode
 from ..peers.messages import ClaimReply
 from .exchange import Exchange, Replay
 from .request import CallerRequest
@@ -81,10 +83,7 @@
 
     def settle_failed(self, order: ClaimOrder, exc: BaseException) -> None:
         """Record a claimed request that gave no answer."""
-        state = ClaimState.unknown
-        if isinstance(exc, WagtailforkError):
-            if result_class(exc.code) == 'not-run':
-                state = ClaimState.closed
+        state = claim_state(outcome_of(exc))
         self.register.settle(order, state, Answer())
 
     def settle_ran(self, order: ClaimOrder, exchange: Exchange) -> None:
@@ -108,6 +107,26 @@
             raise
 
 
+@singledispatch
+def claim_state(outcome: object) -> ClaimState:
+    """Give the state in which an outcome leaves its key.
+
+    >>> claim_state(NotRun(ResultCode.overloaded)).value
+    'closed'
+    """
+    return ClaimState.unknown
+
+
+@claim_state.register
+def _state_of_ran(outcome: Ran) -> ClaimState:
+    return ClaimState.ran_not_kept
+
+
+@claim_state.register
+def _state_of_not_run(outcome: NotRun) -> ClaimState:
+    return ClaimState.closed
+
+
 # A key in one of these states, or of no known form, never runs any more.
 _NEVER_RUNS: Final = frozenset(
     (
--- a/wagtailfork/proxy/dispatcher.py
+++ b/wagtailfork/proxy/dispatcher.py
@@ -10,7 +10,8 @@
 from ..control.fold import ControlState
 from ..control.objects import Customer, Limit, Service
 from ..core.errors import WagtailforkError
-from ..core.results import ResultCode, result_class
+from ..core.outcomes import NotRun, outcome_of
+from ..core.results import ResultCode
 from ..routing.admission import Demand
 from ..routing.budget import RetryBudget
 from ..routing.fairness import TokenBucket
@@ -204,7 +205,8 @@
         service: Service,
     ) -> bool:
         # Only a true 'not run' of the first server allows a second one.
-        if result_class(exc.code) != 'not-run' or exc.code not in _RETRIED:
+        is_not_run = isinstance(outcome_of(exc), NotRun)
+        if not is_not_run or exc.code not in _RETRIED:
             return False
         return req.body.is_whole and self._spend(req, exc, service)
 
--- a/wagtailfork/proxy/front.py
+++ b/wagtailfork/proxy/front.py
@@ -14,6 +14,7 @@
 from ..control.objects import Service
 from ..core.errors import WagtailforkError
 from ..core.logs import log_fault
+from ..core.outcomes import outcome_of
 from ..core.results import ResultCode, http_status, result_class
 from ..routing.upstream import BodyAbandoned
 from ..traffic.ledger import Ledger, Served, TrafficKey
@@ -104,10 +105,9 @@
             result = 'caller_gone'
         except Exception as exc:
             # Nobody knows how far the request came.
-            fault = WagtailforkError(ResultCode.internal_error, repr(exc))
             log_fault(_logger, 'request_failed', error=repr(exc))
-            result = fault.code.name
-            await self._refuse(call, fault)
+            result = ResultCode.internal_error.name
+            await self._refuse(call, exc)
         self._ledger.add(
             Served(
                 key=TrafficKey(
@@ -195,22 +195,24 @@
             chunk = await exchange.read_chunk()
         await _send_body(call, chunk, more=False)
 
-    async def _refuse(self, call: _Call, exc: WagtailforkError) -> None:
+    async def _refuse(self, call: _Call, exc: Exception) -> None:
         if call.answering:
             return
+        outcome = outcome_of(exc)
+        code = outcome.code
         body = json.dumps(
             {
-                'code': int(exc.code),
-                'result': exc.code.name,
-                'class': result_class(exc.code),
-                'detail': exc.detail,
+                'code': int(code),
+                'result': code.name,
+                'class': result_class(code),
+                'detail': outcome.detail,
                 'request_id': call.request_id,
             }
         ).encode()
-        headers = self._own_headers(call, exc.code)
+        headers = self._own_headers(call, code)
         headers.append(('content-type', 'application/json'))
         headers.append(('content-length', str(len(body))))
-        await _start(call, http_status(exc.code), headers)
+        await _start(call, http_status(code), headers)
         await _send_body(call, body, more=False)
 
     def _own_headers(
