Hold a customer's limit over all entry VMs together

Cause: each VM applied the whole limit, so a customer had it once for each VM. Ruled out: equal parts (a customer at one VM gets a fifteenth), one VM that counts (a hop for each call). Change: VMs tell their demand with heartbeat replies and apply the part of the limit that their demand is of the whole; cut-off peers keep their part.

--- a/wagtailfork/control/objects.py
+++ b/wagtailfork/control/objects.py
@@ -76,7 +76,7 @@
 
 @attrs.frozen(kw_only=True)
 class Limit:
-    """Bound the calls of one customer to one service, per entry VM."""
+    """Bound the calls of one customer to one service, over all entry VMs."""
 
     customer: str = attrs.field(validator=_is_name)
     service: str = attrs.field(validator=_is_name)
--- a/wagtailfork/node/entry.py
+++ b/wagtailfork/node/entry.py
@@ -276,9 +276,16 @@
         while True:
             await asyncio.sleep(_SWEEP_S)
             self.admission.sweep()
+            self._adjust_limits()
             await self.upstream.sweep()
             await self.sender.tell_slow()
 
+    def _adjust_limits(self) -> None:
+        peers = [
+            link.seen.demands if link.seen else {} for link in self.mesh.links()
+        ]
+        self.dispatcher.limits.adjust(peers, time.monotonic())
+
     async def _depart(self) -> None:
         _LIFECYCLE.fire(self, 'leave')
         self.front.closing = True
--- a/wagtailfork/node/handlers.py
+++ b/wagtailfork/node/handlers.py
@@ -43,6 +43,7 @@
         phase=node.state,
         offset=node.follower.state.offset,
         key_prefix=node.keeper.prefix() or '',
+        demands=node.dispatcher.limits.demands(),
     )
 
 
--- a/wagtailfork/peers/messages.py
+++ b/wagtailfork/peers/messages.py
@@ -34,12 +34,16 @@
 
 @attrs.frozen(kw_only=True)
 class HeartbeatReply:
-    """Answer a heartbeat with the receiver's facts and its key prefix."""
+    """Answer a heartbeat with the receiver's facts and its key prefix.
+
+    ``demands`` gives calls a second by the name of the limit they fall under.
+    """
 
     incarnation: str
     phase: str
     offset: int
     key_prefix: str = ''
+    demands: dict[str, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
--- a/wagtailfork/proxy/dispatcher.py
+++ b/wagtailfork/proxy/dispatcher.py
@@ -8,13 +8,13 @@
 
 from ..claims.table import MAX_KEPT_BODY_BYTES
 from ..control.fold import ControlState
-from ..control.objects import Customer, Limit, Service
+from ..control.objects import Customer, Service
 from ..core.errors import WagtailforkError
 from ..core.outcomes import NotRun, outcome_of
 from ..core.results import ResultCode
 from ..routing.admission import Demand
 from ..routing.budget import RetryBudget
-from ..routing.fairness import TokenBucket
+from ..routing.limits import FleetLimits
 from ..routing.placement import Placement
 from ..routing.pool import Pool
 from .claimant import Claimant
@@ -33,9 +33,7 @@
     _placement: Placement
     _state: ControlState = attrs.field(factory=ControlState)
     _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
-    _buckets: dict[tuple[str, str], tuple[Limit, TokenBucket]] = attrs.field(
-        factory=dict,
-    )
+    limits: FleetLimits = attrs.field(factory=FleetLimits)
     retries: int = 0
 
     def on_state(self, state: ControlState) -> None:
@@ -44,14 +42,7 @@
         self._state = state
         if limits is None:
             return
-        kept = self._buckets
-        self._buckets = {}
-        for limit in limits.values():
-            where = (limit.customer, limit.service)
-            held = kept.get(where)
-            if held is None or held[0] != limit:
-                held = (limit, TokenBucket(limit.calls_per_s, limit.burst))
-            self._buckets[where] = held
+        self.limits.replace(limits)
 
     def service_of(self, req: CallerRequest) -> Service:
         """Give the request's service after checking who may call it."""
@@ -229,8 +220,8 @@
         return budget
 
     def _check_rate(self, req: CallerRequest) -> None:
-        held = self._buckets.get((req.customer, req.service))
-        if held is not None and not held[1].take(time.monotonic()):
+        now = time.monotonic()
+        if not self.limits.take(req.customer, req.service, now):
             raise WagtailforkError(ResultCode.rate_limited, req.customer)
 
 
--- a/wagtailfork/routing/fairness.py
+++ b/wagtailfork/routing/fairness.py
@@ -138,12 +138,21 @@
         """Start full."""
         self._level = self.burst
 
+    def adjust(self, rate: float, burst: float, now: float) -> None:
+        """Go on at another rate and burst from ``now``."""
+        self._fill(now)
+        self.rate = rate
+        self.burst = burst
+
     def take(self, now: float, amount: float = 1) -> bool:
         """Take tokens if there are enough at ``now``, seconds."""
-        grown = self._level + max(0, now - self._at) * self.rate
-        self._level = min(self.burst, grown)
-        self._at = max(self._at, now)
+        self._fill(now)
         if self._level < amount:
             return False
         self._level -= amount
         return True
+
+    def _fill(self, now: float) -> None:
+        grown = self._level + max(0, now - self._at) * self.rate
+        self._level = min(self.burst, grown)
+        self._at = max(self._at, now)
