Hedge slow repeatable requests; give slots back wherever a caller leaves

Cause of the change: at p99 lending is at the central queue, and what is left of the tail is the servers' own variance. Change: hedge_percent of a service (0 by default): a copy to a second server after the 95th percentile, only while nobody waits, loser cancelled, no retry. Conclusion: useful where time varies by server; off unless asked for.

--- a/wagtailfork/bench/experiment.py
+++ b/wagtailfork/bench/experiment.py
@@ -27,6 +27,7 @@
 from .virtual import VirtualLoop
 
 GREEDY_VMS: Final = 3  # through which the greedy customer comes
+HEDGE_PERCENT: Final = 5.0  # of requests may have a second copy
 SWEEP_S: Final = 0.05
 DRAIN_S: Final = 20.0  # virtual time for the last answers
 _SKEW: Final = 0.5  # shares of the entry VMs grow by so much from first to last
@@ -45,6 +46,7 @@
     lends: bool = False
     central: bool = False  # one entry VM that knows everything
     queues: bool = False  # servers let requests wait instead of shedding
+    hedge_percent: float = 0
 
 
 CONTENDERS: Final = (
@@ -57,6 +59,12 @@
     Contender(name='least-own-queued', policy=LeastInFlight(), queues=True),
     Contender(name='two-own-queued', policy=TwoChoices(), queues=True),
     Contender(name='lending', policy=LeastInFlight(), lends=True),
+    Contender(
+        name='lending-hedged',
+        policy=LeastInFlight(),
+        lends=True,
+        hedge_percent=HEDGE_PERCENT,
+    ),
 )
 
 
@@ -150,6 +158,7 @@
         servers,
         loop,
         rng,
+        hedge_percent=contender.hedge_percent,
     )
 
 
@@ -238,6 +247,7 @@
         'answered': round(answered / max(1, calls), 4),
         'outcomes': tally.outcomes,
         'retries': tally.retries,
+        'hedges': tally.hedges,
         'sheds': sheds,
         'messages_per_call': round(tally.messages / max(1, calls), 2),
         'peer_bytes_per_s': round(tally.message_bytes / seconds),
--- a/wagtailfork/bench/fakes.py
+++ b/wagtailfork/bench/fakes.py
@@ -30,6 +30,7 @@
     draining: bool = False
     queues: bool = False  # wait in line instead of shedding
     busy: int = 0
+    _running: set[Finish] = attrs.field(factory=set)
     sheds: int = 0
     waiting: collections.deque[Finish] = attrs.field(
         factory=collections.deque,
@@ -50,14 +51,26 @@
 
     def _start(self, finish: Finish) -> None:
         self.busy += 1
+        self._running.add(finish)
         service_s = self.median_s * self.rng.lognormvariate(0, SIGMA)
         self.call_later(
             service_s * self.slowness,
             lambda: self._end(finish),
         )
 
+    def cancel(self, finish: Finish) -> None:
+        """Stop a request whose caller has left; it is never finished."""
+        if finish in self._running:
+            self._leave(finish)
+
     def _end(self, finish: Finish) -> None:
-        self.busy -= 1
+        if finish not in self._running:
+            return
         finish('ok')
+        self._leave(finish)
+
+    def _leave(self, finish: Finish) -> None:
+        self._running.discard(finish)
+        self.busy -= 1
         if self.waiting and self.busy < self.slots:
             self._start(self.waiting.popleft())
--- a/wagtailfork/bench/fleet.py
+++ b/wagtailfork/bench/fleet.py
@@ -23,6 +23,7 @@
 from ..routing.budget import RetryBudget
 from ..routing.dealer import Dealer
 from ..routing.endpoint import Endpoint
+from ..routing.hedging import Hedging
 from ..routing.policies import Policy
 from ..routing.pool import Pool
 from ..routing.share import SlotShare
@@ -47,6 +48,7 @@
     quiet_waits_s: list[float] = attrs.field(factory=list)
     outcomes: dict[str, int] = attrs.field(factory=dict)
     retries: int = 0
+    hedges: int = 0
     messages: int = 0
     message_bytes: int = 0
     report_requests: int = 0
@@ -86,6 +88,7 @@
     name: str
     pool: Pool
     admission: Admission
+    hedging: Hedging
     budget: RetryBudget = attrs.field(
         factory=lambda: RetryBudget(RETRY_PERCENT),
     )
@@ -105,6 +108,7 @@
     tally: Tally = attrs.field(factory=Tally)
     vms: list[EntryVm] = attrs.field(factory=list)
     dealer: Dealer | None = None
+    hedge_percent: float = 0
 
     def start(self) -> None:
         """Build the entry VMs and deal the first slots."""
@@ -166,18 +170,52 @@
             except WagtailforkError as exc:
                 outcome = exc.code.name
                 break
-            outcome = await self._exchange(vm, endpoint)
+            excluded |= {endpoint.name}
+            demand = attrs.evolve(demand, excluded=excluded)
+            outcome = await self._hedged(vm, demand, endpoint)
             if outcome == 'ok' or not vm.budget.spend():
                 break
             self.tally.retries += 1
-            excluded |= {endpoint.name}
         self.tally.count(outcome, customer, self.loop.time() - arrived)
 
+    async def _hedged(
+        self,
+        vm: EntryVm,
+        demand: Demand,
+        endpoint: Endpoint,
+    ) -> str:
+        if not vm.hedging.percent:
+            return await self._exchange(vm, endpoint)
+        vm.hedging.earn()
+        sent_at = self.loop.time()
+        copies = {asyncio.create_task(self._exchange(vm, endpoint))}
+        done, _slow = await asyncio.wait(copies, timeout=vm.hedging.delay_s)
+        if not done:
+            if vm.admission.is_quiet(SERVICE) and vm.hedging.spend():
+                self.tally.hedges += 1
+                copies.add(asyncio.create_task(self._second(vm, demand)))
+        outcome = await _first_ok(copies)
+        vm.hedging.note(self.loop.time() - sent_at)
+        return outcome
+
+    async def _second(self, vm: EntryVm, demand: Demand) -> str:
+        try:
+            endpoint = await vm.admission.acquire(demand)
+        except WagtailforkError as exc:
+            return exc.code.name
+        return await self._exchange(vm, endpoint)
+
     async def _exchange(self, vm: EntryVm, endpoint: Endpoint) -> str:
         sent_at = self.loop.time()
         fut: asyncio.Future[str] = self.loop.create_future()
-        self.servers[endpoint.name].offer(fut.set_result)
-        outcome = await fut
+        server = self.servers[endpoint.name]
+        server.offer(fut.set_result)
+        try:
+            outcome = await fut
+        except asyncio.CancelledError:
+            server.cancel(fut.set_result)
+            vm.admission.release(endpoint, self.loop.time() - sent_at)
+            raise
         took_s = self.loop.time() - sent_at
         if outcome == 'ok':
             endpoint.answered(took_s)
@@ -205,7 +243,7 @@
                 lambda _service, message: self._to_dealer(name, message),
                 self.loop.time,
             )
-        return EntryVm(name, pool, admission)
+        return EntryVm(name, pool, admission, Hedging(self.hedge_percent))
 
     def _usable(self) -> dict[str, int]:
         return {
@@ -248,3 +286,17 @@
             vm.admission.serve(SERVICE)
         elif isinstance(message, SlotRecall):
             share.on_recall(message)
+
+
+async def _first_ok(copies: set[asyncio.Task[str]]) -> str:
+    pending = copies
+    outcome = 'error'
+    while pending and outcome != 'ok':
+        done, pending = await asyncio.wait(
+            pending,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        outcome = next(iter(done)).result()
+    for loser in pending:
+        loser.cancel()
+    return outcome
--- a/wagtailfork/cli/bench.py
+++ b/wagtailfork/cli/bench.py
@@ -20,6 +20,7 @@
     'quiet_p99_ms',
     'answered',
     'retries',
+    'hedges',
     'sheds',
     'messages_per_call',
     'peer_bytes_per_s',
--- a/wagtailfork/control/objects.py
+++ b/wagtailfork/control/objects.py
@@ -47,6 +47,13 @@
             attrs.validators.le(100),
         ),
     )
+    hedge_percent: float = attrs.field(
+        default=0.0,
+        validator=attrs.validators.and_(
+            attrs.validators.ge(0),
+            attrs.validators.le(20),
+        ),
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/wagtailfork/node/dump.py
+++ b/wagtailfork/node/dump.py
@@ -25,6 +25,7 @@
             'queued': node.admission.queued(),
             'refusals': node.admission.refusals,
             'retries': node.dispatcher.retries,
+            'hedges': node.hedger.hedges,
         },
         'quarantined': len(node.placement.quarantine),
         'unanswered': len(node.placement.unanswered),
--- a/wagtailfork/node/entry.py
+++ b/wagtailfork/node/entry.py
@@ -22,6 +22,7 @@
 from ..proxy.claimant import Claimant
 from ..proxy.dispatcher import Dispatcher
 from ..proxy.front import CallerFront
+from ..proxy.hedger import Hedger
 from ..proxy.sender import Sender
 from ..routing.admission import Admission
 from ..routing.budget import LinkBudget
@@ -192,11 +193,13 @@
             self.placement,
             SuspicionSpreader(self.mesh),
         )
+        self.hedger = Hedger(self.sender, self.placement)
         self.dispatcher = Dispatcher(
             self.pool,
             Claimant(self.register),
             self.sender,
             self.placement,
+            self.hedger,
         )
         self.ledger = Ledger(
             self.cfg.vm,
@@ -277,7 +280,7 @@
             self.admission.sweep()
             self._adjust_limits()
             await self.upstream.sweep()
-            await self.sender.tell_slow()
+            self.sender.tell_slow()
 
     def _adjust_limits(self) -> None:
         peers = [
--- a/wagtailfork/node/metrics.py
+++ b/wagtailfork/node/metrics.py
@@ -38,6 +38,7 @@
         'wagtailfork_in_flight': node.front.in_flight,
         'wagtailfork_queued': sum(node.admission.queued().values()),
         'wagtailfork_refusals': node.admission.refusals,
+        'wagtailfork_hedges': node.hedger.hedges,
         'wagtailfork_retries': node.dispatcher.retries,
         'wagtailfork_control_offset': node.follower.state.offset,
         'wagtailfork_control_age_seconds': node.follower.age_s(),
--- a/wagtailfork/proxy/dispatcher.py
+++ b/wagtailfork/proxy/dispatcher.py
@@ -19,6 +19,7 @@
 from ..routing.pool import Pool
 from .claimant import Claimant
 from .exchange import Exchange, Replay, ending_of
+from .hedger import HedgedError, Hedger
 from .request import CallerRequest
 from .sender import Sender
 
@@ -31,6 +32,7 @@
     _claimant: Claimant
     _sender: Sender
     _placement: Placement
+    _hedger: Hedger
     _state: ControlState = attrs.field(factory=ControlState)
     _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     limits: FleetLimits = attrs.field(factory=FleetLimits)
@@ -92,7 +94,12 @@
             demand = self._demand(req, excluded)
             endpoint = await self._placement.acquire(demand, req.fingerprint)
             try:
-                return await self._sender.attempt(req, service, endpoint)
+                return await self._hedger.attempt(
+                    req,
+                    service,
+                    attrs.evolve(demand, excluded=excluded | {endpoint.name}),
+                    endpoint,
+                )
             except WagtailforkError as exc:
                 if not self._may_retry(req, exc, service):
                     raise
@@ -119,6 +126,8 @@
     ) -> bool:
         if exc.code not in _RETRIED or not req.body.is_whole:
             return False
+        if isinstance(exc, HedgedError):
+            return False
         if time.monotonic() >= req.deadline:
             return False
         if self._placement.is_quarantined(req.fingerprint):
--- a/wagtailfork/proxy/sender.py
+++ b/wagtailfork/proxy/sender.py
@@ -88,19 +88,26 @@
             # Of a copy that may still run, _send has left a record.
             self._placement.unanswered.end(req.fingerprint, endpoint.name)
             raise
-        await self._note_answer(req.fingerprint)
-        far_link = self._far_link(endpoint)
-        if far_link is not None:
-            await far_link.pay(names.size(response.headers.items()))
-        return Exchange(
+        exchange = Exchange(
             endpoint,
             response,
             sent_at,
             req.fingerprint,
-            far_link,
+            self._far_link(endpoint),
         )
+        try:
+            await self._note_answer(exchange)
+        except BaseException:
+            # The caller may leave now, and nobody else holds the exchange.
+            await self.finish(exchange, Ending.cancelled)
+            raise
+        return exchange
 
-    async def _note_answer(self, fingerprint: str) -> None:
+    async def _note_answer(self, exchange: Exchange) -> None:
+        if exchange.far_link is not None:
+            head_size = names.size(exchange.response.headers.items())
+            await exchange.far_link.pay(head_size)
+        fingerprint = exchange.fingerprint
         was_told = self._placement.unanswered.answered(fingerprint)
         # A server may still crash within the answer, so strikes stay.
         is_suspect = self._placement.quarantine.is_suspect(fingerprint)
@@ -183,16 +190,19 @@
         unanswered = self._placement.unanswered
         if not unanswered.leave(fingerprint, endpoint.name, now):
             return
-        telling = self._peers.running(fingerprint, endpoint.name)
+        self._tell_running(fingerprint, endpoint.name)
+
+    def tell_slow(self) -> None:
+        """Tell peers, without waiting, of requests that run for long."""
+        for found in self._placement.unanswered.due(time.monotonic()):
+            self._tell_running(*found)
+
+    def _tell_running(self, fingerprint: str, backend: str) -> None:
+        telling = self._peers.running(fingerprint, backend)
         task = asyncio.create_task(telling)
         self._telling.add(task)
         task.add_done_callback(self._telling.discard)
 
-    async def tell_slow(self) -> None:
-        """Tell peers of requests that have run for long."""
-        for found in self._placement.unanswered.due(time.monotonic()):
-            await self._peers.running(*found)
-
     def _check_response(
         self,
         req: CallerRequest,
--- a/wagtailfork/routing/admission.py
+++ b/wagtailfork/routing/admission.py
@@ -109,6 +109,11 @@
         self._count(demand)
         return True
 
+    def is_quiet(self, service: str) -> bool:
+        """Tell whether no request waits here for a service."""
+        line = self._lines.get(service)
+        return line is None or not line.queue.customers()
+
     def give_back(self, endpoint: Endpoint) -> None:
         """Give a slot back that was not used."""
         endpoint.ended()
--- a/wagtailfork/routing/placement.py
+++ b/wagtailfork/routing/placement.py
@@ -49,6 +49,25 @@
         self.unanswered.begin(fingerprint, endpoint.name, self._clock())
         return endpoint
 
+    def may_hedge(self, service: str, fingerprint: str) -> bool:
+        """Tell whether a second copy may be sent now.
+
+        None goes while requests wait here, nor beside other copies.
+        """
+        touched = self.unanswered.servers(fingerprint, self._clock())
+        if len(touched) > 1 or self.quarantine.is_suspect(fingerprint):
+            return False
+        return self._admission.is_quiet(service)
+
+    async def second(self, demand: Demand, fingerprint: str) -> Endpoint:
+        """Wait for a slot of this region for a second copy."""
+        endpoint = await self._admission.acquire(demand)
+        if endpoint.backend.region != self._pool.region:
+            self._admission.give_back(endpoint)
+            raise WagtailforkError(ResultCode.no_backend, demand.service)
+        self.unanswered.begin(fingerprint, endpoint.name, self._clock())
+        return endpoint
+
     def check(self, fingerprint: str) -> None:
         """Raise ``quarantined`` for a request that crashes servers."""
         if self.is_quarantined(fingerprint):
