Refuse a grant whose acknowledgement comes after a handover

Cause: a leaving VM vowed to decide no new claim, but one under way to a former backup could still be acknowledged after the table had gone, and was granted; the next member, which got the key as pending, granted it too. Ruled out: the views, which the backup had rightly not folded yet. Before: test_claim_under_way_at_a_handover, 'k dispatched 2 times' with one heir (two heirs refused it by luck). After: passes; pending keys are not handed over, so they can be claimed anew. Conclusion: the vow covers grants under way.

--- a/wagtailfork/claims/handover.py
+++ b/wagtailfork/claims/handover.py
@@ -83,7 +83,10 @@
 ) -> Iterator[HandOver]:
     """Give the messages that carry a table whole to one member."""
     claims = [
-        _handed(slot, key, claim) for slot, key, claim in held.table.entries()
+        _handed(slot, key, claim)
+        for slot, key, claim in held.table.entries()
+        # Nobody was granted a pending key, nor ever will be by this member.
+        if claim.state != ClaimState.pending
     ]
     starts = range(0, max(1, len(claims)), CLAIMS_PER_MESSAGE)
     for start in starts:
--- a/wagtailfork/claims/register.py
+++ b/wagtailfork/claims/register.py
@@ -299,6 +299,9 @@
         except BaseException:
             held.table.withdraw(req.slot, req.key, req.claim_id)
             raise
+        if req.range_id in self._handed_to:
+            # The table went to others while the members were asked.
+            raise WagtailforkError(ResultCode.range_unreachable, req.range_id)
         if held.table.confirm(req.slot, req.key, req.claim_id):
             return Decision.granted
         return Decision.in_progress
--- a/wagtailfork/claims/tests/test_register.py
+++ b/wagtailfork/claims/tests/test_register.py
@@ -357,6 +357,29 @@
         machine.at_most_once()
 
 
+def claim_under_way_at_handover(machine: ClaimMachine) -> None:
+    """Let the old backup acknowledge a claim after the table has gone."""
+    home, backup = HOMES[:2]
+    machine.claim(home, 'k')
+    machine.shrink(home)
+    machine.fold(home)
+    machine.hand_over(home)
+    # The first one under way is the claim's own message to the backup; the
+    # table reaches the backup alone.
+    machine.deliver(1)
+    machine.deliver(1)
+    machine.lose(1)
+    machine.deliver(0)
+    machine.deliver(0)
+    for name in HOMES[1:]:
+        machine.fold(name)
+        machine.fold(name)
+    machine.claim(backup, 'k')
+    while machine.flights:
+        machine.deliver(0)
+    machine.at_most_once()
+
+
 def explore(machine: type[ClaimMachine], examples: int) -> None:
     """Explore a fixed sequence of histories."""
     run_state_machine_as_test(
@@ -404,6 +427,13 @@
         self.assertEqual({'k': 1, 'm': 1}, machine.dispatches)
         machine.teardown()
 
+    def test_claim_under_way_at_a_handover(self) -> None:
+        """Regression: an acknowledgement after the vow granted a key."""
+        machine = ClaimMachine()
+        claim_under_way_at_handover(machine)
+        self.assertEqual(1, sum(machine.dispatches.values()))
+        machine.teardown()
+
     def test_without_the_vow_it_breaks(self) -> None:
         """Find the double dispatch when the leaving VM still grants."""
         machine = GrantingMachine()
