--- a/wagtailfork/claims/register.py
+++ b/wagtailfork/claims/register.py
@@ -23,30 +23,16 @@
     Settle,
 )
 from .handover import HeldRange, IncomingTables, split_table
-from .keys import IdempotencyKey
+from .orders import ClaimOrder
+from .settlements import Settlements
 from .table import Answer, ClaimState, ClaimTable, Decision
 
 KEPT_SLOTS: Final = 15
 _POLL_S: Final = 0.02
-_SETTLE_TRIES: Final = 5
 
 _logger = logging.getLogger(__name__)
 
 
-@attrs.frozen(kw_only=True)
-class ClaimOrder:
-    """Ask for the right to dispatch one request under one key."""
-
-    key: IdempotencyKey
-    customer: str
-    digest: str
-    claim_id: str
-
-    def scoped_key(self) -> str:
-        """Name the key within its customer."""
-        return f'{self.customer}/{self.key.suffix}'
-
-
 @attrs.define
 class Register:
     """Decide claims as a range's primary and keep them as its member."""
@@ -60,11 +46,12 @@
     _dropped: set[str] = attrs.field(factory=set)
     incoming: IncomingTables = attrs.field(init=False)
     _handed_to: dict[str, list[str]] = attrs.field(factory=dict)
-    _settling: set[asyncio.Task[None]] = attrs.field(factory=set)
+    settlements: Settlements = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Take tables that are addressed to this incarnation."""
         self.incoming = IncomingTables(self.incarnation)
+        self.settlements = Settlements(self._deliver, self._timeout_s)
 
     def on_state(self, state: ControlState) -> None:
         """Hold a table for just the ranges whose view names this VM.
@@ -218,7 +205,7 @@
         held = held or self.incoming.find(req.range_id)
         handed_to = self._handed_to.get(req.range_id, [])
         for target in handed_to:
-            self._settle_later(target, attrs.evolve(req, member=target))
+            self.settlements.post(attrs.evolve(req, member=target))
         if handed_to and held is None:
             return Ack()
         if req.member != self.incarnation or held is None:
@@ -261,30 +248,13 @@
                 content_type=answer.content_type,
                 body=answer.body,
             )
-            self._settle_later(member, req)
-
-    def _settle_later(self, member: str, req: Settle) -> None:
-        task = asyncio.create_task(self._settle_at(member, req))
-        self._settling.add(task)
-        task.add_done_callback(self._settling.discard)
+            self.settlements.post(req)
 
-    async def settled(self) -> None:
-        """Wait until every settlement was delivered or given up."""
-        while self._settling:
-            await asyncio.sleep(_POLL_S)
-
-    async def _settle_at(self, member: str, req: Settle) -> None:
-        for _try in range(_SETTLE_TRIES):
-            try:
-                if member == self.incarnation:
-                    await self.serve_settle(req)
-                else:
-                    await self._call(member, req)
-            except WagtailforkError:
-                await asyncio.sleep(self._timeout_s)
-                continue
-            return
-        log_fault(_logger, 'settle_lost', member=member, range=req.range_id)
+    async def _deliver(self, req: Settle) -> None:
+        if req.member == self.incarnation:
+            await self.serve_settle(req)
+        else:
+            await self._call(req.member, req)
 
     async def _grant(
         self,
--- a/wagtailfork/claims/tests/test_register.py
+++ b/wagtailfork/claims/tests/test_register.py
@@ -21,7 +21,8 @@
 from ...peers import messages
 from ...peers.messages import Message
 from ..keys import IdempotencyKey
-from ..register import ClaimOrder, Register
+from ..orders import ClaimOrder
+from ..register import Register
 from ..table import Answer, ClaimState, Decision
 
 HOMES = ('00000000000a', '00000000000b', '00000000000c')
--- a/wagtailfork/node/entry.py
+++ b/wagtailfork/node/entry.py
@@ -299,7 +299,7 @@
         await self.keeper.leave()
         _LIFECYCLE.fire(self, 'drain')
         await self.caller_server.stop()
-        await self.register.settled()
+        await self.register.settlements.drained()
         await self.ledger.flush()
         _LIFECYCLE.fire(self, 'stop')
         log_event(_logger, 'entry_stopped', vm=self.cfg.vm)
--- a/wagtailfork/proxy/claimant.py
+++ b/wagtailfork/proxy/claimant.py
@@ -7,7 +7,8 @@
 import attrs
 
 from ..claims.keys import parse_key
-from ..claims.register import ClaimOrder, Register
+from ..claims.orders import ClaimOrder
+from ..claims.register import Register
 from ..claims.table import (
     MAX_KEPT_BODY_BYTES,
     Answer,
