End the tasks that sender tests leave waiting

Cause: tasks that wait for frozen peers were destroyed pending, which printed warnings; the naive entry took ClaimOrder from its old module. Ruled out: a fault of the sender; real peers time out. Before: three warnings. After: none; claims and proxy tests pass.

--- a/wagtailfork/proxy/tests/test_sender.py
+++ b/wagtailfork/proxy/tests/test_sender.py
@@ -1,6 +1,7 @@
 """Check that a slot comes back wherever an exchange is cut off."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import attrs
@@ -13,7 +14,7 @@
 from ..request import Head, parse_head
 from ..sender import Sender
 
-FINGERPRINT_OF = Head(
+HEAD = Head(
     method='GET',
     path='/s/stockd/item',
     query='',
@@ -64,20 +65,20 @@
 
     def test_caller_leaves_while_peers_are_told(self) -> None:
         """Regression: the slot was lost with the exchange."""
-        Scene().run(self._leave_while_telling)
+        run_scene(Scene(), self._leave_while_telling)
 
     def test_frozen_peers_hold_nothing_up(self) -> None:
         """Regression: the sweeper waited for each peer in turn."""
-        Scene().run(self._tell_frozen_peers)
+        run_scene(Scene(), self._tell_frozen_peers)
 
     def test_caller_leaves_a_hedged_request(self) -> None:
         """Give both slots back when the caller leaves two silent copies."""
         scene = Scene(regions=('south-tas', 'south-tas'))
-        scene.run(self._leave_hedged)
+        run_scene(scene, self._leave_hedged)
 
     async def _leave_while_telling(self, scene: Scene) -> None:
         sender, placement = make_sender(scene, FakeUpstream())
-        req = parse_head(FINGERPRINT_OF, 1e9)
+        req = parse_head(HEAD, 1e9)
         endpoint = await placement.acquire(scene.demand(), req.fingerprint)
         placement.unanswered.hear(req.fingerprint, 'other', scene.loop.time())
         sending = asyncio.create_task(sender.attempt(req, Service(), endpoint))
@@ -97,7 +98,7 @@
         upstream = FakeUpstream({'b0', 'b1'})
         sender, placement = make_sender(scene, upstream)
         hedger = Hedger(sender, placement)
-        req = parse_head(FINGERPRINT_OF, 1e9)
+        req = parse_head(HEAD, 1e9)
         endpoint = await placement.acquire(scene.demand(), req.fingerprint)
         service = Service(hedge_percent=5)
         demand = attrs.evolve(
@@ -114,6 +115,22 @@
         self.assertEqual([0, 0], _in_flight(scene))
 
 
+def run_scene(
+    scene: Scene,
+    work: Callable[[Scene], Awaitable[None]],
+) -> None:
+    """Run a scene and end what still waits for the frozen peers."""
+
+    async def run_and_end(held: Scene) -> None:
+        await work(held)
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
+
+    scene.run(run_and_end)
+
+
 def make_sender(
     scene: Scene,
     upstream: FakeUpstream,
--- a/wagtailfork/tests/naive_entry.py
+++ b/wagtailfork/tests/naive_entry.py
@@ -4,7 +4,8 @@
 its double runs, or the check proves nothing.
 """
 
-from ..claims.register import ClaimOrder, Register
+from ..claims.orders import ClaimOrder
+from ..claims.register import Register
 from ..claims.table import ClaimTable, Decision
 from ..cli.main import main
 from ..peers.messages import ClaimReply
