Never call a request not run after a copy of it may have run

Cause: a repeatable request whose first copy was lost was sent again, and when the retry was shed, refused or found no server, that refusal was the answer: 'not run' for a request that had run. A hedged pair answered with its first copy's error whatever the other's was. Ruled out: once requests, which are sent again only after a true 'not run'. Also: a service with one server refused a request that was struck once until its deadline, for ten minutes (test_only_server_takes_a_struck_request: 2002); now the server that is left takes it. Conclusion: the first copy that may have run decides what the caller is told.

--- a/wagtailfork/proxy/dispatcher.py
+++ b/wagtailfork/proxy/dispatcher.py
@@ -24,6 +24,19 @@
 from .sender import Sender
 
 
+@attrs.define
+class _Sends:
+    """Follow the copies of one repeatable request."""
+
+    tried: frozenset[str] = frozenset()  # servers
+    unsure: WagtailforkError | None = None  # of the first copy that may run
+
+    def note(self, exc: WagtailforkError) -> None:
+        """Note how one copy ended."""
+        if self.unsure is None and not isinstance(outcome_of(exc), NotRun):
+            self.unsure = exc
+
+
 @attrs.define
 class Dispatcher:
     """Decide and carry out what happens to each request."""
@@ -88,22 +101,39 @@
         req: CallerRequest,
         service: Service,
     ) -> Exchange:
-        excluded: frozenset[str] = frozenset()
+        sends = _Sends()
         self._budget(req.service, service).earn()
+        try:
+            return await self._send_until_answered(req, service, sends)
+        except WagtailforkError as exc:
+            if sends.unsure is None:
+                raise
+            # A refusal at last says nothing of the copies before it.
+            raise sends.unsure from exc
+
+    async def _send_until_answered(
+        self,
+        req: CallerRequest,
+        service: Service,
+        sends: _Sends,
+    ) -> Exchange:
         while True:
-            demand = self._demand(req, excluded)
+            demand = self._demand(req, sends.tried)
             endpoint = await self._placement.acquire(demand, req.fingerprint)
+            tried = sends.tried | {endpoint.name}
+            demand = attrs.evolve(demand, excluded=tried)
             try:
                 return await self._hedger.attempt(
                     req,
                     service,
-                    attrs.evolve(demand, excluded=excluded | {endpoint.name}),
+                    demand,
                     endpoint,
                 )
             except WagtailforkError as exc:
+                sends.note(exc)
                 if not self._may_retry(req, exc, service):
                     raise
-            excluded = self._exclude(req, service, excluded | {endpoint.name})
+            sends.tried = self._exclude(req, service, tried)
 
     def _exclude(
         self,
--- a/wagtailfork/proxy/hedger.py
+++ b/wagtailfork/proxy/hedger.py
@@ -7,6 +7,7 @@
 
 from ..control.objects import Service
 from ..core.errors import WagtailforkError
+from ..core.outcomes import NotRun, outcome_of
 from ..routing.admission import Demand
 from ..routing.endpoint import Endpoint
 from ..routing.hedging import Hedging
@@ -127,12 +128,18 @@
         for copy in done:
             if copy.exception() is None:
                 return copy.result()
-    failure = copies[0].exception()
-    is_hedged = not isinstance(copies[-1].exception(), SecondNotSent)
-    is_hedged = is_hedged and len(copies) > 1
-    if is_hedged and isinstance(failure, WagtailforkError):
-        raise HedgedError(failure.code, failure.detail) from failure
-    return copies[0].result()
+    raise _failure_of(copies)
+
+
+def _failure_of(copies: list[Attempt]) -> BaseException:
+    errors = [exc for copy in copies if (exc := copy.exception())]
+    sent = [exc for exc in errors if not isinstance(exc, SecondNotSent)]
+    unsure = [exc for exc in sent if not isinstance(outcome_of(exc), NotRun)]
+    # 'Not run' is true only if no copy may have run.
+    failure = (*unsure, *sent)[0]
+    if len(sent) > 1 and isinstance(failure, WagtailforkError):
+        return HedgedError(failure.code, failure.detail)
+    return failure
 
 
 def _gave(copy: Attempt, exchange: Exchange) -> bool:
--- a/wagtailfork/routing/placement.py
+++ b/wagtailfork/routing/placement.py
@@ -126,9 +126,11 @@
             return _idlest(holding, demand.excluded)
         shunned = {*touched, *crashed, *demand.excluded}
         name = _agreed(fingerprint, open_to.keys() - shunned)
-        if name is None:
-            return _idlest(holding, demand.excluded) if holding else None
-        return open_to[name]
+        if name is not None:
+            return open_to[name]
+        # With no other server left, one that it was on before must do.
+        left = holding or list(open_to.values())
+        return _idlest(left, demand.excluded) if left else None
 
     def _open_to(self, demand: Demand) -> dict[str, Endpoint]:
         allowed = self._pool.allowed(demand.customer, demand.service) or []
--- a/wagtailfork/routing/tests/test_placement.py
+++ b/wagtailfork/routing/tests/test_placement.py
@@ -35,6 +35,20 @@
         self.assertEqual(0, placement.pinned)
         self.assertEqual(SERVERS, len(set(names)))
 
+    def test_only_server_takes_a_struck_request(self) -> None:
+        """Regression: a service of one server refused it for ten minutes."""
+        scene = Scene(regions=(NEAR,))
+        placement = Placement(
+            scene.pool,
+            scene.admission,
+            clock=scene.loop.time,
+        )
+        placement.strike('f', 'b0')
+        found = scene.run(
+            lambda held: placement.acquire(held.demand(), 'f'),
+        )
+        self.assertEqual('b0', found.name)
+
     async def _hot(self, scene: Scene, placement: Placement) -> list[str]:
         async def one() -> str:
             endpoint = await placement.acquire(scene.demand(), 'f')
