Keep answered fingerprints in an ordered dictionary

Cause: dropping the first key of a plain dictionary searches the places of keys dropped before. Ruled out: the hash itself, which is not in this figure.

--- a/wagtailfork/routing/unanswered.py
+++ b/wagtailfork/routing/unanswered.py
@@ -4,6 +4,7 @@
 again, is told from its copies only by what is on record here.
 """
 
+from collections import OrderedDict
 from typing import Final
 
 import attrs
@@ -43,7 +44,8 @@
     """
 
     _open: dict[str, _Open] = attrs.field(factory=dict)
-    _answered: dict[str, None] = attrs.field(factory=dict)  # oldest first
+    # The oldest first; a plain dict finds its first key ever more slowly.
+    _answered: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
 
     def begin(self, fingerprint: str, backend: str, now: float) -> None:
         """Note a copy sent, unless a like one was answered before."""
@@ -95,7 +97,7 @@
         held = self._open.pop(fingerprint, None)
         if fingerprint not in self._answered:
             if len(self._answered) >= MAX_ANSWERED:
-                self._answered.pop(next(iter(self._answered)))
+                self._answered.popitem(last=False)
             self._answered[fingerprint] = None
         return held is not None and held.told_at is not None
 
