Check repeatable requests and hedges in the chaos histories too

Cause: the histories held only once requests, so 'not run' was never checked for requests that are sent again. Ruled out: counting on test_not_run.py alone, which is two scenes. Conclusion: hedges of 20 % and retries of 50 % stay on in the histories.

--- a/wagtailfork/tests/history.py
+++ b/wagtailfork/tests/history.py
@@ -19,6 +19,19 @@
     reply: Reply
 
 
+def find_false_refusals(
+    gets: list[Send],
+    runs: list[dict[str, Any]],
+) -> list[str]:
+    """List the repeatable requests that ran and were called 'not run'."""
+    ran = {run['request_id'] for run in runs}
+    return [
+        f'{send.request_id} ran after code {send.reply.code}'
+        for send in gets
+        if send.reply.kind == 'not-run' and send.request_id in ran
+    ]
+
+
 def find_violations(
     sends: list[Send],
     runs: list[dict[str, Any]],
--- a/wagtailfork/tests/test_at_most_once.py
+++ b/wagtailfork/tests/test_at_most_once.py
@@ -8,7 +8,7 @@
 import attrs
 import testtools
 
-from .history import Send, find_violations
+from .history import Send, find_false_refusals, find_violations
 from .rig import CUSTOMERS, Entry, Rig
 
 KEYS = 150
@@ -24,6 +24,7 @@
     rig: Rig
     rng: random.Random
     sends: list[Send] = attrs.field(factory=list)
+    gets: list[Send] = attrs.field(factory=list)
     prefixes: list[str] = attrs.field(factory=list)
     stopping: bool = False
 
@@ -38,7 +39,9 @@
         self.stopping = True
         await faults
         await asyncio.sleep(SETTLE_S)
-        return find_violations(self.sends, await self.rig.runs())
+        runs = await self.rig.runs()
+        found = find_violations(self.sends, runs)
+        return found + find_false_refusals(self.gets, runs)
 
     async def _push_key(self, number: int) -> None:
         await asyncio.sleep(number * 0.06)
@@ -50,6 +53,7 @@
             task = asyncio.create_task(
                 self._send(key, body, f'{number}-{attempt}', entry),
             )
+            await self._look(f'look-{number}-{attempt}', entry)
             # Some re-sends overtake the send before them.
             if self.rng.random() < 0.7:
                 await task
@@ -89,6 +93,15 @@
         )
         self.sends.append(Send(key, body, request_id, reply))
 
+    async def _look(self, request_id: str, entry: Entry) -> None:
+        reply = await self.rig.call(
+            entry,
+            path=f'/{request_id}',
+            x_request_id=request_id,
+            wagtailfork_deadline_ms='300',
+        )
+        self.gets.append(Send('', b'', request_id, reply))
+
     async def _cause_faults(self) -> None:
         faults = (
             self._freeze,
@@ -158,10 +171,17 @@
     """Run one history and give its violations and a line of counts."""
     rig = Rig(service_ms=15, entry_module=module)
     async with rig:
+        state = {'hedge_percent': 20, 'retry_percent': 50}
+        service = {'kind': 'service', 'name': 'payvend', 'state': state}
+        ticket = {'ticket': 2, 'operator': 'rig', 'objects': [service]}
+        status, answer = await rig.submit(ticket)
+        assert status == 200, answer
         chaos = Chaos(rig, random.Random(seed))
         violations = await chaos.run()
         kinds = [send.reply.kind for send in chaos.sends]
         counts = {kind: kinds.count(kind) for kind in sorted(set(kinds))}
+        refused = [send for send in chaos.gets if send.reply.kind == 'not-run']
+        assert refused, 'no repeatable request was refused'
         print(f'seed={seed} module={module} counts={counts}')
         # A history in which little happened would prove nothing.
         assert counts.get('ran', 0) > KEYS, counts
