--- a/wagtailfork/tests/test_outage.py
+++ b/wagtailfork/tests/test_outage.py
@@ -49,14 +49,7 @@
             await rig.post(trimming, {'keep': 0})
             await rig.log_faults()
             await until(lambda: _has_snapshot(rig))
-            for entry in old:
-                await rig.kill(entry)
-            rig.entries = []
-            for number in range(3):
-                await rig.add_entry(f'new-{number}', 'hobart-a')
-            await rig.list_vms()
-            for entry in rig.entries:
-                await rig.until_serving(entry)
+            await _kill_and_replace_all(rig)
             await until(lambda: everywhere(rig, rig.entries, 'kept'))
 
     async def _outlast(self) -> None:
@@ -132,15 +125,7 @@
 
             await until(lambda: _has_snapshot(rig))
             await rig.post(f'{HOST}:{rig.log_port}/trim/control', {'keep': 4})
-            old = list(rig.entries)
-            for entry in old:
-                await rig.kill(entry)
-            rig.entries = []
-            for number in range(3):
-                await rig.add_entry(f'new-{number}', 'hobart-a')
-            await rig.list_vms()
-            for entry in rig.entries:
-                await rig.until_serving(entry)
+            await _kill_and_replace_all(rig)
             for number in range(2, 12):
                 reply = await rig.call(
                     rig.entries[number % 3],
@@ -178,6 +163,17 @@
             self.assertEqual(5002, stale[1]['code'])
 
 
+async def _kill_and_replace_all(rig: Rig) -> None:
+    for entry in rig.entries:
+        await rig.kill(entry)
+    rig.entries = []
+    for number in range(3):
+        await rig.add_entry(f'new-{number}', 'hobart-a')
+    await rig.list_vms()
+    for entry in rig.entries:
+        await rig.until_serving(entry)
+
+
 async def _has_snapshot(rig: Rig) -> bool:
     url = f'{HOST}:{rig.log_port}/streams/control/records?from=0'
     raw = await rig.get(url)
