Close key ranges once their keys have expired

Cause: with views kept for twelve hours a VM is in scores of old ranges; each costs a record, one after another, when a member is lost or leaves, before the range in use is reached. Ruled out: a shorter life of views, which would end ranges in long outages. Change: the member that decides a range that nobody issues keys of closes it after the life of its keys; no proposal while the log is stale. Conclusion: ranges live for their hour and the life of their keys.

--- a/wagtailfork/claims/keeper.py
+++ b/wagtailfork/claims/keeper.py
@@ -24,6 +24,7 @@
 _PUBLISH_WAIT_S: Final = 5.0
 _RANGES_WANTED: Final = 2  # with different backups
 _HEIRS: Final = 2
+_STALE_S: Final = 3.0  # without the log, after which no view is proposed
 _ALONE_WAIT_S: Final = 2.0  # before settling for a range with no backup
 
 _logger = logging.getLogger(__name__)
@@ -52,6 +53,7 @@
     _down_s: float
     _lifetime_s: float
     _made: int = 0
+    _idle_since: dict[str, float] = attrs.field(factory=dict)
     _own: list[_OwnRange] = attrs.field(factory=list)
     _started_at: float = attrs.field(factory=time.monotonic)
     leaving: bool = False
@@ -78,6 +80,7 @@
             await self._shrink(range_id, view)
         if not self.leaving:
             await self._renew()
+            await self._retire()
 
     async def leave(self) -> None:
         """Hand every range over to its other members."""
@@ -160,6 +163,37 @@
         if not ready and backup is None and alone_s > _ALONE_WAIT_S:
             await self._make_range((self._register.incarnation,))
 
+    async def _retire(self) -> None:
+        """Close one range whose keys have all expired.
+
+        Views would pile up otherwise, and each costs a record when a member
+        is lost or leaves.
+        """
+        if self._follower.age_s() > _STALE_S:
+            return
+        now = time.monotonic()
+        idle = self._idle_ranges()
+        self._idle_since = {
+            range_id: self._idle_since.get(range_id, now) for range_id in idle
+        }
+        for range_id, since in self._idle_since.items():
+            is_over = now - since > self._register.key_life_s()
+            if is_over and self._register.is_empty(range_id):
+                await self._propose(range_id, idle[range_id].number, ())
+                return
+
+    def _idle_ranges(self) -> dict[str, View]:
+        """Give the ranges that this VM decides and nobody issues keys of."""
+        issued = {own.range_id for own in self._own}
+        me = self._register.incarnation
+        found: dict[str, View] = {}
+        for range_id, view in self._follower.state.views.items():
+            home = range_id.partition('-')[0]
+            is_issued = range_id in issued or home in view.members[1:]
+            if view.primary() == me and not is_issued:
+                found[range_id] = view
+        return found
+
     def _backups(self, range_id: str) -> set[str]:
         view = self._follower.state.views.get(range_id)
         return set(view.members[1:]) if view else set()
--- a/wagtailfork/claims/register.py
+++ b/wagtailfork/claims/register.py
@@ -120,6 +120,10 @@
         held.table.raise_floor(held.slot(self._slot_s) - KEPT_SLOTS)
         return len(held.table) == 0
 
+    def key_life_s(self) -> float:
+        """Give the seconds for which an issued key can be claimed."""
+        return (KEPT_SLOTS + 1) * self._slot_s
+
     def holds(self, range_id: str) -> bool:
         """Tell whether this VM is a member of the range."""
         return range_id in self._ranges
--- a/wagtailfork/tests/test_rolling.py
+++ b/wagtailfork/tests/test_rolling.py
@@ -10,6 +10,7 @@
 
 SLOT_S = 60.0  # the keys of this test live through it
 REPLAYED = 3001
+MADE = 60  # ranges by all VMs, over some ten lives of a range
 
 
 class RollingTest(testtools.TestCase):
@@ -19,6 +20,24 @@
         """Regression: a home that left alone took its keys with it."""
         asyncio.run(self._roll())
 
+    def test_old_ranges_are_closed(self) -> None:
+        """Regression: views piled up for twelve hours."""
+        asyncio.run(self._pile_up())
+
+    async def _pile_up(self) -> None:
+        timing = {**FAST, 'key_slot_s': 0.1, 'range_lifetime_s': 1.0}
+        async with Rig(timing=timing) as rig:
+            seen: set[str] = set()
+
+            async def many_made() -> bool:
+                raw = await rig.dump(rig.entries[0])
+                seen.update(raw['ranges'])
+                return len(seen) > MADE
+
+            await until(many_made)
+            raw = await rig.dump(rig.entries[0])
+            self.assertLess(len(raw['ranges']), MADE / 2)
+
     async def _roll(self) -> None:
         timing = {**FAST, 'key_slot_s': SLOT_S}
         async with Rig(timing=timing) as rig:
