Serve callers on the users' platform through a thin adapter

Cause: the product spoke only its own interface. A gateway process now reads configuration and servers from the platform's store, finds its peers there, answers readiness and the directory, and forwards requests with late binding. Ruled out: reusing the entry VM's path, whose key claims, tickets and VM list have nothing to do on the platform.

--- /dev/null
+++ b/wagtailfork/cli/gateway.py
@@ -0,0 +1,48 @@
+"""The command that runs a gateway on the users' platform."""
+
+import gc
+import os
+from typing import Final
+
+import click
+
+from ..core.errors import WagtailforkError
+from ..core.logs import configure_logs
+from ..core.results import ResultCode
+from ..core.settings import GatewaySettings, load_settings
+from ..platform.adapter import make_gateway
+from .runner import on_stop_signals, run_async
+
+SETTINGS_VARIABLE: Final = 'WAGTAILFORK_BOOT'
+_GC_YOUNG: Final = 20000  # allocations between collections of the young
+_GC_MIDDLE: Final = 20
+_GC_OLD: Final = 100
+
+
+@click.command()
+@click.option(
+    '--settings',
+    'path',
+    type=click.Path(),
+    help=f'JSON settings file; without it, the one that {SETTINGS_VARIABLE} names.',
+)
+def gateway(path: str | None) -> None:
+    """Run a gateway on the users' platform."""
+    path = path or os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise WagtailforkError(
+            ResultCode.settings_unreadable,
+            f'no --settings and no {SETTINGS_VARIABLE}',
+        )
+    cfg = load_settings(path, GatewaySettings)
+    configure_logs(cfg.log_level)
+    run_async(_run(cfg))
+
+
+async def _run(cfg: GatewaySettings) -> None:
+    node = make_gateway(cfg)
+    on_stop_signals(node.ask_stop)
+    # What lives for good need not be searched again; the rest is short-lived.
+    gc.freeze()
+    gc.set_threshold(_GC_YOUNG, _GC_MIDDLE, _GC_OLD)
+    await node.run()
--- a/wagtailfork/cli/main.py
+++ b/wagtailfork/cli/main.py
@@ -1,5 +1,6 @@
 """The ``wagtailfork`` command."""
 
+import importlib
 import sys
 from typing import Any, Final
 
@@ -7,22 +8,43 @@
 
 from .. import __version__
 from ..core.errors import WagtailforkError
-from .bench import bench
-from .dev import dev
-from .load import load_command
-from .operator import (
-    dump_command,
-    objects_command,
-    report,
-    settings,
-    ticket,
-)
-from .roles import entry, standin
 
 EXIT_ERROR: Final = 1
 
+# Each command's module and name there; a process imports only its own.
+_COMMANDS: Final = {
+    'bench': ('bench', 'bench'),
+    'dev': ('dev', 'dev'),
+    'dump': ('operator', 'dump_command'),
+    'entry': ('roles', 'entry'),
+    'gateway': ('gateway', 'gateway'),
+    'load': ('load', 'load_command'),
+    'objects': ('operator', 'objects_command'),
+    'report': ('operator', 'report'),
+    'settings': ('operator', 'settings'),
+    'standin': ('roles', 'standin'),
+    'ticket': ('operator', 'ticket'),
+}
+
 
 class _Group(click.Group):
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Name all commands."""
+        return sorted(_COMMANDS)
+
+    def get_command(
+        self,
+        ctx: click.Context,
+        cmd_name: str,
+    ) -> click.Command | None:
+        """Import one command."""
+        place = _COMMANDS.get(cmd_name)
+        if place is None:
+            return None
+        module = importlib.import_module(f'..{place[0]}', __name__)
+        command: click.Command = getattr(module, place[1])
+        return command
+
     def invoke(self, ctx: click.Context) -> Any:
         """Turn a numbered error into one line and exit status 1."""
         try:
@@ -40,25 +62,3 @@
     Exit status: 0 done, 1 a numbered error was printed, 2 wrong usage,
     3 a change ticket was refused or some requests of a load run failed.
     """
-
-
-_COMMANDS: Final = (
-    bench,
-    dev,
-    dump_command,
-    entry,
-    load_command,
-    objects_command,
-    report,
-    settings,
-    standin,
-    ticket,
-)
-
-
-def _add_commands(group: click.Group) -> None:
-    for command in _COMMANDS:
-        group.add_command(command)
-
-
-_add_commands(main)
--- a/wagtailfork/core/settings.py
+++ b/wagtailfork/core/settings.py
@@ -66,6 +66,53 @@
     queue_limit: int = attrs.field(default=64, validator=_POSITIVE)
 
 
+@attrs.frozen(kw_only=True)
+class RetryShare:
+    """Bound second sends to a service, over all VMs together."""
+
+    ratio: float = attrs.field(default=0.2, validator=_POSITIVE)
+    slack: float = attrs.field(default=10.0, validator=_POSITIVE)
+    window_s: float = attrs.field(default=10.0, validator=_POSITIVE)
+
+
+@attrs.frozen(kw_only=True)
+class GatewaySettings:
+    """Hold the settings of one ``gateway`` process.
+
+    ``regions`` maps each failure domain to its region.
+    """
+
+    vm: str = attrs.field(validator=attrs.validators.min_len(1))
+    region: str = attrs.field(validator=attrs.validators.min_len(1))
+    failure_domain: str = attrs.field(validator=attrs.validators.min_len(1))
+    regions: dict[str, str]
+    caller_address: str = attrs.field(validator=_is_address)
+    ready_address: str = attrs.field(validator=_is_address)
+    directory_address: str = attrs.field(validator=_is_address)
+    fleet_address: str = attrs.field(validator=_is_address)
+    store_address: str = attrs.field(validator=_is_address)
+    metrics_address: str | None = None
+    retries: RetryShare = attrs.field(factory=RetryShare)
+    # Half of the least bound that users set on a planned stop, 6 s.
+    stop_accepts_s: float = attrs.field(default=3.0, validator=_POSITIVE)
+    stop_limit_s: float = attrs.field(default=5.7, validator=_POSITIVE)
+    directory_ttl_s: float = attrs.field(default=2.0, validator=_POSITIVE)
+    # A third of the time for which noise on shared VMs stays as it is.
+    probe_period_s: float = attrs.field(default=0.1, validator=_POSITIVE)
+    # A reader whose connection fell silent is found within the bound on
+    # configuration, counted from when its VM is held to it again.
+    store_wait_s: float = attrs.field(default=5.0, validator=_POSITIVE)
+    store_settle_s: float = attrs.field(default=0.1, validator=_POSITIVE)
+    # Answered calls that a megabyte costs, between domains and regions.
+    near_price: float = attrs.field(default=30.0, validator=_POSITIVE)
+    far_price: float = attrs.field(default=50.0, validator=_POSITIVE)
+    log_lines_per_s: float = attrs.field(default=200.0, validator=_POSITIVE)
+    log_level: str = attrs.field(
+        default='INFO',
+        validator=attrs.validators.in_(('DEBUG', 'INFO', 'WARNING', 'ERROR')),
+    )
+
+
 def parse_settings(text: str, kind: type[SettingsKind]) -> SettingsKind:
     """Parse settings of one kind from JSON text.
 
--- /dev/null
+++ b/wagtailfork/fleet/members.py
@@ -0,0 +1,162 @@
+"""Which entry VMs exist and answer, by heartbeats that spread as gossip."""
+
+import random
+import zlib
+from collections.abc import Iterable
+from typing import Final
+
+import attrs
+
+HEARTBEAT_S: Final = 0.2  # five heartbeats fit into the time below
+DOWN_S: Final = 1.0  # silence after which a VM of the own domain is down
+FAR_DOWN_S: Final = 3.5  # for other domains, whose heartbeats come by the second
+FORGET_S: Final = 900.0  # a VM that stays silent this long is dropped
+FAN_OUT: Final = 6  # neighbours told at each heartbeat
+ROWS: Final = 24  # members that one heartbeat carries; fits one datagram
+
+
+@attrs.frozen(kw_only=True)
+class Member:
+    """Hold what one entry VM says of itself."""
+
+    address: str  # IP number and port of the fleet's traffic
+    caller_address: str
+    failure_domain: str
+    region: str
+    incarnation: int
+    beat: int = 0
+    ready: bool = False
+    reading: bool = False  # it follows the platform's store, with success
+    config_version: int = 0
+    servers_position: int = 0
+
+    def newer_than(self, other: 'Member') -> bool:
+        """Tell whether this says something later than ``other``."""
+        mine = (self.incarnation, self.beat)
+        return mine > (other.incarnation, other.beat)
+
+
+@attrs.define
+class _Heard:
+    member: Member
+    at_s: float
+
+
+def rendezvous(key: str, addresses: Iterable[str]) -> str | None:
+    """Give the address that every VM picks for a key, by highest hash.
+
+    >>> rendezvous('a', ['10.0.0.1:1', '10.0.0.2:1']) in (
+    ...     '10.0.0.1:1', '10.0.0.2:1')
+    True
+    """
+    ranked = ((zlib.crc32(f'{key} {name}'.encode()), name) for name in addresses)
+    return max(ranked, default=(0, None))[1]
+
+
+@attrs.define(eq=False)
+class Membership:
+    """Fold heartbeats of all VMs into a table."""
+
+    me: Member
+    _table: dict[str, _Heard] = attrs.field(factory=dict)
+
+    def beat(self, **changes: object) -> None:
+        """Say something new of this VM."""
+        self.me = attrs.evolve(
+            self.me,
+            beat=self.me.beat + 1,
+            **changes,  # type: ignore[arg-type]
+        )
+
+    def merge(self, members: Iterable[Member], now: float) -> list[Member]:
+        """Take over what is news; give the members that were not alive."""
+        joined = []
+        for member in members:
+            if member.address == self.me.address:
+                continue
+            known = self._table.get(member.address)
+            if known is not None and not member.newer_than(known.member):
+                continue
+            if known is None or not self._answers(known, now):
+                joined.append(member)
+            self._table[member.address] = _Heard(member, now)
+        return joined
+
+    def introduce(self, members: Iterable[Member]) -> None:
+        """Add VMs that are listed somewhere but were not heard yet."""
+        for member in members:
+            if member.address not in self._table:
+                self._table[member.address] = _Heard(member, -DOWN_S * 10)
+
+    def alive(self, now: float) -> list[Member]:
+        """Give the other VMs that were heard lately."""
+        heard = self._table.values()
+        return [one.member for one in heard if self._answers(one, now)]
+
+    def neighbours(self, now: float) -> list[Member]:
+        """Give the living VMs of the own failure domain, without this one."""
+        own = self.me.failure_domain
+        return [one for one in self.alive(now) if one.failure_domain == own]
+
+    def in_domain(self, domain: str, now: float) -> list[Member]:
+        """Give the living VMs of a failure domain, this one included."""
+        found = [one for one in self.alive(now) if one.failure_domain == domain]
+        if self.me.failure_domain == domain:
+            found.append(self.me)
+        return found
+
+    def count(self, now: float) -> int:
+        """Count the living VMs, this one included."""
+        return len(self.alive(now)) + 1
+
+    def silent(self, now: float) -> list[Member]:
+        """Give known VMs that do not answer."""
+        heard = self._table.values()
+        return [one.member for one in heard if not self._answers(one, now)]
+
+    def forget_old(self, now: float) -> list[Member]:
+        """Drop VMs that have been silent for very long."""
+        old = [
+            one.member
+            for one in self._table.values()
+            if now - one.at_s > FORGET_S and one.at_s > 0
+        ]
+        for member in old:
+            self._table.pop(member.address)
+        return old
+
+    def told_to(self, now: float) -> list[Member]:
+        """Choose whom the next heartbeat goes to."""
+        neighbours = self.neighbours(now)
+        chosen = random.sample(neighbours, min(FAN_OUT, len(neighbours)))
+        return chosen + self._distant(now, len(neighbours) + 1)
+
+    def rows(self, now: float) -> list[Member]:
+        """Choose which members the next heartbeat speaks of."""
+        others = self.alive(now)
+        if len(others) > ROWS:
+            others = random.sample(others, ROWS)
+        return [self.me, *others]
+
+    def _distant(self, now: float, group: int) -> list[Member]:
+        # Together the VMs of a domain speak to each other domain five times
+        # in a second for near ones, about once for far ones.
+        chosen = []
+        by_domain: dict[str, list[Member]] = {}
+        for member in self.alive(now):
+            by_domain.setdefault(member.failure_domain, []).append(member)
+        for domain, members in by_domain.items():
+            if domain == self.me.failure_domain:
+                continue
+            near = members[0].region == self.me.region
+            chance = (0.4 if near else 0.2) / group
+            if random.random() < chance:  # noqa: S311
+                chosen.append(random.choice(members))  # noqa: S311
+        quiet = self.silent(now)
+        if quiet and random.random() < max(HEARTBEAT_S, 1 / group):  # noqa: S311
+            chosen.append(random.choice(quiet))  # noqa: S311
+        return chosen
+
+    def _answers(self, heard: _Heard, now: float) -> bool:
+        near = heard.member.failure_domain == self.me.failure_domain
+        return now - heard.at_s <= (DOWN_S if near else FAR_DOWN_S)
--- /dev/null
+++ b/wagtailfork/fleet/messages.py
@@ -0,0 +1,185 @@
+"""Datagrams between entry VMs: typed messages as CBOR lists."""
+
+from functools import singledispatch
+from typing import Any, Final
+
+import attrs
+import cbor2
+
+from ..core.errors import WagtailforkError
+from ..core.results import ResultCode
+from .members import Member
+
+_HEARTBEAT: Final = 1
+_LOADS: Final = 2
+_STRIKE: Final = 3
+_READY: Final = 1
+_READING: Final = 2
+
+
+@attrs.frozen
+class Heartbeat:
+    """Tell members, the sender first."""
+
+    members: list[Member]
+
+
+@attrs.frozen(kw_only=True)
+class LoadRow:
+    """Tell of one backend server: own requests there, and a report of it.
+
+    ``age_ms`` is negative where there is no report; ``silent`` says that the
+    server did not answer a probe.
+    """
+
+    server: str
+    in_flight: int
+    running: int = 0
+    waiting: int = 0
+    slots: int = 0
+    slowness: float = 1.0
+    age_ms: int = -1
+    silent: bool = False
+
+
+@attrs.frozen
+class Loads:
+    """Tell of the load of backend servers; ``relay`` asks to pass it on."""
+
+    sender: str
+    relay: bool
+    rows: list[LoadRow]
+
+
+@attrs.frozen
+class Strike:
+    """Tell that a request crashed a backend server."""
+
+    fingerprint: int
+    server: str
+
+
+Message = Heartbeat | Loads | Strike
+
+
+@singledispatch
+def encode(message: Any) -> bytes:
+    """Encode one message as CBOR."""
+    raise TypeError(f'no encoding for {type(message).__name__}')
+
+
+@encode.register
+def _(message: Heartbeat) -> bytes:
+    return cbor2.dumps([_HEARTBEAT, *map(_member_row, message.members)])
+
+
+@encode.register
+def _(message: Loads) -> bytes:
+    rows = [_load_row(row) for row in message.rows]
+    return cbor2.dumps([_LOADS, message.sender, message.relay, *rows])
+
+
+@encode.register
+def _(message: Strike) -> bytes:
+    return cbor2.dumps([_STRIKE, message.fingerprint, message.server])
+
+
+def decode(raw: bytes) -> Message:
+    """Decode a datagram or raise ``frame_malformed``.
+
+    >>> decode(encode(Strike(5, 'a')))
+    Strike(fingerprint=5, server='a')
+    >>> decode(b'\\x00')
+    Traceback (most recent call last):
+    ...
+    wagtailfork.core.errors.WagtailforkError: code=7001 ...
+    """
+    try:
+        kind, *parts = cbor2.loads(raw)
+        return _DECODERS[kind](parts)
+    except Exception as exc:
+        # Hostile bytes make the decoder fail in many ways.
+        raise WagtailforkError(
+            ResultCode.frame_malformed,
+            repr(exc)[:99],
+        ) from exc
+
+
+def _member_row(member: Member) -> list[Any]:
+    flags = (_READY if member.ready else 0) | (_READING if member.reading else 0)
+    return [
+        member.address,
+        member.caller_address.rpartition(':')[2],
+        member.failure_domain,
+        member.region,
+        member.incarnation,
+        member.beat,
+        flags,
+        member.config_version,
+        member.servers_position,
+    ]
+
+
+def _parse_member(row: list[Any]) -> Member:
+    address, port, domain, region, incarnation, beat, flags, version, position = row
+    if not isinstance(address, str) or not isinstance(port, str):
+        raise TypeError(f'member address {address!r} {port!r}')
+    host = address.rpartition(':')[0]
+    return Member(
+        address=address,
+        caller_address=f'{host}:{port}',
+        failure_domain=str(domain),
+        region=str(region),
+        incarnation=int(incarnation),
+        beat=int(beat),
+        ready=bool(flags & _READY),
+        reading=bool(flags & _READING),
+        config_version=int(version),
+        servers_position=int(position),
+    )
+
+
+def _load_row(row: LoadRow) -> list[Any]:
+    if row.silent:
+        return [row.server, row.in_flight, -1]
+    if row.age_ms < 0:
+        return [row.server, row.in_flight]
+    return [
+        row.server,
+        row.in_flight,
+        row.running,
+        row.waiting,
+        row.slots,
+        round(row.slowness * 100),
+        row.age_ms,
+    ]
+
+
+def _parse_load(row: list[Any]) -> LoadRow:
+    server, in_flight, *told = row
+    if not told:
+        return LoadRow(server=str(server), in_flight=int(in_flight))
+    if told[0] < 0:
+        return LoadRow(server=str(server), in_flight=int(in_flight), silent=True)
+    running, waiting, slots, slowness, age_ms = told
+    return LoadRow(
+        server=str(server),
+        in_flight=int(in_flight),
+        running=int(running),
+        waiting=int(waiting),
+        slots=int(slots),
+        slowness=slowness / 100,
+        age_ms=int(age_ms),
+    )
+
+
+def _parse_loads(parts: list[Any]) -> Loads:
+    sender, relay, *rows = parts
+    return Loads(str(sender), bool(relay), [_parse_load(row) for row in rows])
+
+
+_DECODERS: Final[dict[int, Any]] = {
+    _HEARTBEAT: lambda parts: Heartbeat([_parse_member(row) for row in parts]),
+    _LOADS: _parse_loads,
+    _STRIKE: lambda parts: Strike(int(parts[0]), str(parts[1])),
+}
--- /dev/null
+++ b/wagtailfork/gateway/prober.py
@@ -0,0 +1,170 @@
+"""Ask the backend servers of the own failure domain how busy they are.
+
+One VM of a domain asks each server and tells its neighbours, so the cost
+does not grow with the number of VMs.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from ..core.clock import now_s
+from ..core.event_log import EventLog
+from ..fleet.members import Membership, rendezvous
+from ..http1.answers import AnswerFailed, NothingSent
+from ..http1.headers import render_head
+from ..http1.pool import ConnectionPool
+from ..routing.late_binding import Candidate
+from .dialect import Dialect
+from .model import BackendServer
+from .roster import Geography, Roster
+from .view import View
+
+ANSWER_S: Final = 0.25  # a server that takes longer is taken as silent
+DEMAND_S: Final = 2.0  # a service without requests for so long is left alone
+SILENT_PERIODS: Final = 3  # a silent server is asked this much less often
+NO_LOAD_PERIODS: Final = 20  # a server without load figures, likewise
+
+
+@attrs.define(eq=False)
+class _Probed:
+    busy: bool = False
+    next_at_s: float = 0
+
+
+Told = Callable[[Candidate, bool], None]  # with whether the server was silent
+
+
+@attrs.define(eq=False, kw_only=True)
+class Prober:
+    """Keep reports of the servers that are this VM's to ask fresh."""
+
+    view: View
+    roster: Roster
+    membership: Membership
+    pool: ConnectionPool
+    dialect: Dialect
+    geography: Geography
+    log: EventLog
+    period_s: float
+    tell: Told
+    probes: int = 0
+    _probed: dict[str, _Probed] = attrs.field(factory=dict)
+    _tasks: set['asyncio.Task[None]'] = attrs.field(factory=set)
+
+    async def run(self) -> None:
+        """Ask for good."""
+        while True:
+            self._round()
+            await asyncio.sleep(self.period_s / 4)
+
+    def _round(self) -> None:
+        now = now_s()
+        askers: dict[str, list[str]] = {}
+        for server, candidate in self.roster.candidates():
+            state = self._probed.setdefault(server.name, _Probed())
+            if state.busy or now < state.next_at_s:
+                continue
+            if not self._is_due(server, candidate, now):
+                continue
+            domain = server.failure_domain
+            if domain not in askers:
+                askers[domain] = self._askers(domain, now)
+            if rendezvous(server.name, askers[domain]) != self._me():
+                continue
+            state.busy = True
+            task = asyncio.create_task(self._ask(server, candidate, state))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        for name in self._probed.keys() - self.view.servers.keys():
+            self._probed.pop(name)
+
+    def _me(self) -> str:
+        return self.membership.me.address
+
+    def _is_due(
+        self,
+        server: BackendServer,
+        candidate: Candidate,
+        now: float,
+    ) -> bool:
+        if server.draining:
+            return False
+        if now - self.roster.queue(server.service).wanted_at_s > DEMAND_S:
+            return False
+        report = candidate.load.report
+        return report is None or now - report.at_s >= self.period_s
+
+    def _askers(self, domain: str, now: float) -> list[str]:
+        members = self.membership.in_domain(domain, now)
+        if not members and self.geography.is_near(domain):
+            region = self.membership.me.region
+            members = [
+                one for one in self.membership.alive(now) if one.region == region
+            ]
+            members.append(self.membership.me)
+        return [one.address for one in members]
+
+    async def _ask(
+        self,
+        server: BackendServer,
+        candidate: Candidate,
+        state: _Probed,
+    ) -> None:
+        self.probes += 1
+        periods = 1
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                told = await self._exchange(server, candidate)
+        except (NothingSent, AnswerFailed, TimeoutError) as exc:
+            self._note_silent(candidate, repr(exc))
+            periods = SILENT_PERIODS
+        else:
+            if not told:
+                periods = NO_LOAD_PERIODS
+        finally:
+            state.busy = False
+        state.next_at_s = now_s() + periods * self.period_s
+
+    async def _exchange(
+        self,
+        server: BackendServer,
+        candidate: Candidate,
+    ) -> bool:
+        conn = await self.pool.acquire(
+            server.address,
+            once=False,
+            timeout_s=ANSWER_S,
+        )
+        try:
+            answer = await conn.exchange(self._head(server))
+            await answer.body.wait_filled()
+        except BaseException:
+            conn.close()
+            raise
+        self.pool.release(server.address, conn)
+        facts = self.dialect.read_answer(answer)
+        if facts.server not in {None, server.name}:
+            candidate.load.take_out(now_s())
+            return True
+        if facts.load is None:
+            return False
+        candidate.load.bring_back()
+        if candidate.load.note_report(facts.load):
+            self.tell(candidate, False)
+        return True
+
+    def _head(self, server: BackendServer) -> bytes:
+        cfg = self.view.configuration
+        rule = cfg.services.get(server.service) if cfg else None
+        path = rule.health_path if rule else '/health'
+        line = f'GET {path} HTTP/1.1'.encode()
+        return render_head(line, [(b'Host', server.address.encode())])
+
+    def _note_silent(self, candidate: Candidate, why: str) -> None:
+        candidate.load.take_out(now_s())
+        self.pool.drop(candidate.address)
+        self.log.emit('probe_failed', server=candidate.name, why=why)
+        self.tell(candidate, True)
--- /dev/null
+++ b/wagtailfork/gateway/roster.py
@@ -0,0 +1,126 @@
+"""The queues of all services, kept in step with the view."""
+
+from collections.abc import Callable, Iterator, Mapping
+from typing import Final
+
+import attrs
+
+from ..core.clock import now_s
+from ..routing.late_binding import Candidate, ServiceQueue
+from ..routing.load import ServerLoad
+from ..routing.worth import Distance
+from .model import BackendServer
+
+SAME_DOMAIN: Final = Distance(round_trip_s=0.0005, price_per_kb=0)
+_PER_KB: Final = 1 / 1024
+
+
+@attrs.frozen(kw_only=True)
+class Geography:
+    """Say where this VM is, and what distance costs.
+
+    Prices are in answered calls a megabyte, as the users' bills relate them.
+    """
+
+    failure_domain: str
+    regions: Mapping[str, str]  # failure domain to region
+    near_price: float
+    far_price: float
+    near_trip_s: float = 0.003
+    far_trip_s: float = 0.062
+
+    def distance(self, domain: str) -> Distance:
+        """Give the distance to servers of a failure domain."""
+        if domain == self.failure_domain:
+            return SAME_DOMAIN
+        if self.is_near(domain):
+            return Distance(
+                round_trip_s=self.near_trip_s,
+                price_per_kb=self.near_price * _PER_KB,
+            )
+        return Distance(
+            round_trip_s=self.far_trip_s,
+            price_per_kb=self.far_price * _PER_KB,
+        )
+
+    def is_near(self, domain: str) -> bool:
+        """Tell whether a failure domain is in this VM's region."""
+        own = self.regions.get(self.failure_domain)
+        return own is not None and self.regions.get(domain) == own
+
+
+@attrs.define(eq=False)
+class Roster:
+    """Hold a queue for each service and a candidate for each server."""
+
+    geography: Geography
+    on_gone: Callable[[str], None]
+    queues: dict[str, ServiceQueue] = attrs.field(factory=dict)
+    _known: dict[str, BackendServer] = attrs.field(factory=dict)
+
+    def queue(self, service: str) -> ServiceQueue:
+        """Give the queue of a service."""
+        found = self.queues.get(service)
+        if found is None:
+            found = ServiceQueue(service)
+            self.queues[service] = found
+        return found
+
+    def server(self, name: str) -> BackendServer | None:
+        """Give what is known of a server."""
+        return self._known.get(name)
+
+    def candidate(self, name: str) -> Candidate | None:
+        """Give the candidate of a server."""
+        server = self._known.get(name)
+        if server is None:
+            return None
+        return self.queue(server.service).servers.get(name)
+
+    def candidates(self) -> Iterator[tuple[BackendServer, Candidate]]:
+        """Give all servers with their candidates."""
+        for name, server in list(self._known.items()):
+            candidate = self.queue(server.service).servers.get(name)
+            if candidate is not None:
+                yield server, candidate
+
+    def update(self, servers: Mapping[str, BackendServer]) -> None:
+        """Follow the table of servers."""
+        for name in self._known.keys() - servers.keys():
+            self._drop(name)
+        for server in servers.values():
+            if self._known.get(server.name) != server:
+                self._put(server)
+        for queue in self.queues.values():
+            queue.pump()
+
+    def _put(self, server: BackendServer) -> None:
+        before = self._known.get(server.name)
+        if before is not None and _other_life(before, server):
+            self._drop(server.name)
+        self._known[server.name] = server
+        candidates = self.queue(server.service).servers
+        candidate = candidates.get(server.name)
+        if candidate is None:
+            candidate = Candidate(
+                name=server.name,
+                address=server.address,
+                load=ServerLoad(slots=server.slots),
+                distance=self.geography.distance(server.failure_domain),
+            )
+            candidates[server.name] = candidate
+        candidate.draining = server.draining
+        candidate.warm_at_s = now_s() + server.warm_up_s
+
+    def _drop(self, name: str) -> None:
+        server = self._known.pop(name)
+        self.queue(server.service).servers.pop(name, None)
+        self.on_gone(server.address)
+
+
+def _other_life(before: BackendServer, after: BackendServer) -> bool:
+    return (before.born_ms, before.address, before.service) != (
+        after.born_ms,
+        after.address,
+        after.service,
+    )
--- /dev/null
+++ b/wagtailfork/gateway/view.py
@@ -0,0 +1,163 @@
+"""What a gateway believes of configuration and servers, and how old it is."""
+
+import logging
+from collections.abc import Callable, Mapping
+from typing import Final
+
+import attrs
+
+from ..core.clock import now_s
+from ..core.errors import WagtailforkError
+from ..core.logs import log_event, log_fault
+from .model import BackendServer, Configuration
+
+NO_POSITION: Final = -1
+
+_logger = logging.getLogger(__name__)
+
+DecodeConfiguration = Callable[[bytes], Configuration]
+DecodeServer = Callable[[str, bytes], BackendServer]
+
+
+@attrs.frozen
+class Snapshot:
+    """Hold everything that one VM needs from another to serve."""
+
+    configuration: bytes
+    position: int
+    servers: Mapping[str, bytes]
+
+
+def _ignore() -> None:
+    """Do nothing on a change."""
+
+
+@attrs.define(eq=False)
+class View:
+    """Keep the newest configuration and the table of servers.
+
+    Versions and positions only rise, whichever source brings them.
+    """
+
+    decode_configuration: DecodeConfiguration
+    decode_server: DecodeServer
+    on_change: Callable[[], None] = _ignore
+    configuration: Configuration | None = None
+    raw_configuration: bytes = b''
+    position: int = NO_POSITION
+    servers: dict[str, BackendServer] = attrs.field(factory=dict)
+    changed_at_s: float = 0
+    _raw_servers: dict[str, bytes] = attrs.field(factory=dict)
+
+    @property
+    def version(self) -> int:
+        """Give the version in force, 0 without any."""
+        return self.configuration.version if self.configuration else 0
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether requests can be served from this view."""
+        return self.configuration is not None and self.position > NO_POSITION
+
+    def offer_configuration(self, raw: bytes, source: str) -> None:
+        """Put a configuration in force if it is newer and readable."""
+        if not raw or raw == self.raw_configuration:
+            return
+        try:
+            found = self.decode_configuration(raw)
+        except WagtailforkError as exc:
+            log_fault(_logger, 'configuration_unreadable', error=exc)
+            return
+        if found.version <= self.version:
+            return
+        self.configuration = found
+        self.raw_configuration = raw
+        self._note_change()
+        log_event(
+            _logger,
+            'configuration_in_force',
+            version=found.version,
+            routes=len(found.routes),
+            source=source,
+        )
+
+    def replace_servers(
+        self,
+        table: Mapping[str, bytes],
+        position: int,
+        source: str,
+    ) -> None:
+        """Take over a whole table unless a later one is known.
+
+        A table of the same position counts: keys that it lacks have gone.
+        """
+        if position < self.position:
+            return
+        gone = self._raw_servers.keys() - table.keys()
+        for name in gone:
+            self._remove(name, source)
+        for name, raw in table.items():
+            self._put(name, raw, source)
+        self.position = position
+        self._note_change()
+
+    def apply_server(
+        self,
+        name: str,
+        raw: bytes | None,
+        position: int,
+        source: str,
+    ) -> None:
+        """Apply one record; ``position`` is the one after it."""
+        if position <= self.position:
+            return
+        self.position = position
+        if raw is None:
+            self._remove(name, source)
+        else:
+            self._put(name, raw, source)
+        self._note_change()
+
+    def snapshot(self, version: int, position: int) -> Snapshot:
+        """Give what is newer than a version and a position."""
+        newer = self.position > position
+        return Snapshot(
+            configuration=self.raw_configuration if self.version > version else b'',
+            position=self.position if newer else NO_POSITION,
+            servers=dict(self._raw_servers) if newer else {},
+        )
+
+    def merge(self, snapshot: Snapshot, source: str) -> None:
+        """Take over what another VM knows."""
+        self.offer_configuration(snapshot.configuration, source)
+        if snapshot.position > self.position:
+            self.replace_servers(snapshot.servers, snapshot.position, source)
+
+    def _put(self, name: str, raw: bytes, source: str) -> None:
+        if self._raw_servers.get(name) == raw:
+            return
+        self._raw_servers[name] = raw
+        try:
+            found = self.decode_server(name, raw)
+        except WagtailforkError as exc:
+            # Another writer's entry names no server; one known before stays.
+            log_fault(_logger, 'server_unreadable', server=name, error=exc)
+            return
+        self.servers[name] = found
+        log_event(
+            _logger,
+            'server_listed',
+            server=name,
+            service=found.service,
+            draining=found.draining,
+            source=source,
+        )
+
+    def _remove(self, name: str, source: str) -> None:
+        self._raw_servers.pop(name, None)
+        if self.servers.pop(name, None) is not None:
+            log_event(_logger, 'server_unlisted', server=name, source=source)
+
+    def _note_change(self) -> None:
+        self.changed_at_s = now_s()
+        self.on_change()
--- /dev/null
+++ b/wagtailfork/http1/__init__.py
@@ -0,0 +1,18 @@
+"""Strict HTTP/1.1 connections to callers and backend servers."""
+
+from .answers import Answer, AnswerFailed, NothingSent
+from .backend import BackendConnection
+from .body import Body
+from .caller import CallerConnection, CallerRequest, CallerServer, Limits
+
+__all__ = (
+    'Answer',
+    'AnswerFailed',
+    'BackendConnection',
+    'Body',
+    'CallerConnection',
+    'CallerRequest',
+    'CallerServer',
+    'Limits',
+    'NothingSent',
+)
--- /dev/null
+++ b/wagtailfork/http1/pool.py
@@ -0,0 +1,83 @@
+"""Open connections to backend servers, kept for the next request."""
+
+from typing import Final
+
+import attrs
+
+from ..core.clock import now_s
+from .backend import BackendConnection, connect
+
+DEFAULT_IDLE_S: Final = 4.0  # below the idle limit of common servers, 5 s
+KEEP_ALIVE_SHARE: Final = 0.5  # of the server's limit, so no send races it
+ONCE_IDLE_S: Final = 1.0  # a lost send of these costs more than a new one
+MAX_IDLE: Final = 8  # connections kept to one address
+
+
+@attrs.define(eq=False)
+class ConnectionPool:
+    """Keep idle connections by address and retire them early."""
+
+    opened: int = 0
+    _idle: dict[str, list[BackendConnection]] = attrs.field(factory=dict)
+
+    def take_idle(self, address: str, *, once: bool) -> BackendConnection | None:
+        """Give the connection used last, if one is young enough."""
+        idle = self._idle.get(address, [])
+        while idle:
+            conn = idle.pop()
+            if not conn.fit or _expired(conn, DEFAULT_IDLE_S):
+                conn.close()
+                continue
+            if once and now_s() - conn.idle_since > ONCE_IDLE_S:
+                idle.append(conn)
+                return None
+            return conn
+        return None
+
+    async def acquire(
+        self,
+        address: str,
+        *,
+        once: bool,
+        timeout_s: float,
+    ) -> BackendConnection:
+        """Give a connection, new if need be; raise ``NothingSent``."""
+        conn = self.take_idle(address, once=once)
+        if conn is not None:
+            return conn
+        host, _, port = address.rpartition(':')
+        self.opened += 1
+        return await connect(host, int(port), timeout_s)
+
+    def release(self, address: str, conn: BackendConnection) -> None:
+        """Keep a connection for the next request if it is fit for one."""
+        idle = self._idle.setdefault(address, [])
+        if conn.fit and len(idle) < MAX_IDLE:
+            idle.append(conn)
+        else:
+            conn.close()
+
+    def drop(self, address: str) -> None:
+        """Close all idle connections to an address."""
+        for conn in self._idle.pop(address, []):
+            conn.close()
+
+    def sweep(self) -> None:
+        """Close connections that have been idle for too long."""
+        for address, idle in list(self._idle.items()):
+            young = []
+            for conn in idle:
+                if conn.fit and not _expired(conn, DEFAULT_IDLE_S):
+                    young.append(conn)
+                else:
+                    conn.close()
+            if young:
+                self._idle[address] = young
+            else:
+                self._idle.pop(address)
+
+
+def _expired(conn: BackendConnection, longest_s: float) -> bool:
+    if conn.keep_alive_s is not None:
+        longest_s = conn.keep_alive_s * KEEP_ALIVE_SHARE
+    return now_s() - conn.idle_since > longest_s
--- /dev/null
+++ b/wagtailfork/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to the users' platform: names, formats and calls only."""
--- /dev/null
+++ b/wagtailfork/platform/adapter.py
@@ -0,0 +1,48 @@
+"""Assemble a gateway on the users' platform."""
+
+from collections.abc import Callable
+
+from ..core.settings import GatewaySettings
+from ..gateway.node import Adapter, GatewayNode
+from ..gateway.view import View
+from .calls import PlatformCalls
+from .documents import decode_configuration, decode_server
+from .headers import PlatformDialect
+from .source import PlatformSource
+from .store import StoreClient
+
+
+def make_gateway(cfg: GatewaySettings) -> GatewayNode:
+    """Build a gateway that speaks the platform's names and formats."""
+
+    def make_source(
+        view: View,
+        wanted: Callable[[], bool],
+    ) -> PlatformSource:
+        store = StoreClient(cfg.store_address)
+        return PlatformSource(
+            store,
+            view,
+            wanted,
+            cfg.store_wait_s,
+            cfg.store_settle_s,
+        )
+
+    def make_directory(
+        is_ready: Callable[[], bool],
+        addresses: Callable[[str, str], list[str]],
+    ) -> PlatformCalls:
+        return PlatformCalls(
+            is_ready=is_ready,
+            addresses=addresses,
+            ttl_s=cfg.directory_ttl_s,
+        )
+
+    adapter = Adapter(
+        dialect=PlatformDialect(),
+        decode_configuration=decode_configuration,
+        decode_server=decode_server,
+        make_source=make_source,
+        make_directory=make_directory,
+    )
+    return GatewayNode(cfg, adapter)
--- /dev/null
+++ b/wagtailfork/platform/calls.py
@@ -0,0 +1,53 @@
+"""The calls that the platform makes: readiness and the directory."""
+
+import json
+from collections.abc import Callable
+from typing import Final
+from urllib.parse import parse_qs, urlsplit
+
+import attrs
+
+from ..http1.caller import CallerRequest
+
+_OK: Final = 200
+_UNAVAILABLE: Final = 503
+_NOT_FOUND: Final = 404
+_JSON: Final = (b'Content-Type', b'application/json')
+_READY_PATH: Final = '/v1/ready'
+_RESOLVE_PATH: Final = '/v1/resolve'
+
+
+@attrs.frozen(kw_only=True)
+class PlatformCalls:
+    """Answer the platform's calls from what the node tells."""
+
+    is_ready: Callable[[], bool]
+    addresses: Callable[[str, str], list[str]]  # by region, failure domain
+    ttl_s: float
+
+    async def handle_ready(self, req: CallerRequest) -> None:
+        """Say whether this VM takes requests."""
+        if _path(req) != _READY_PATH:
+            req.answer(_NOT_FOUND, [])
+            return
+        req.answer(_OK if self.is_ready() else _UNAVAILABLE, [])
+
+    async def handle_resolve(self, req: CallerRequest) -> None:
+        """Say where to connect."""
+        if _path(req) != _RESOLVE_PATH:
+            req.answer(_NOT_FOUND, [])
+            return
+        query = parse_qs(urlsplit(req.target.decode('latin-1')).query)
+        region = query.get('region', [''])[0]
+        domain = query.get('zone', [''])[0]
+        found = self.addresses(region, domain)
+        if not found:
+            req.answer(_UNAVAILABLE, [])
+            return
+        document = {'addresses': found, 'ttlS': self.ttl_s}
+        payload = json.dumps(document, separators=(',', ':')).encode()
+        req.answer(_OK, [_JSON], payload)
+
+
+def _path(req: CallerRequest) -> str:
+    return urlsplit(req.target.decode('latin-1')).path
--- /dev/null
+++ b/wagtailfork/platform/documents.py
@@ -0,0 +1,154 @@
+"""Decode what operators and backend servers write to the platform's store."""
+
+import json
+from typing import Any, Final
+
+from ..core.errors import WagtailforkError
+from ..core.results import ResultCode
+from ..gateway.model import BackendServer, Configuration
+from ..http1.caller import Limits
+from ..routing.routes import RequestKind, Route, RouteTable, ServiceRule
+
+_MS: Final = 1000
+_SHOWN: Final = 120  # characters of an unreadable document in an error
+_KINDS: Final = {
+    'safe': RequestKind.safe,
+    'unsafe': RequestKind.once,
+    'upload': RequestKind.upload,
+}
+_READY: Final = 'ready'
+_DRAINING: Final = 'draining'
+
+
+def _malformed(what: str, shown: Any) -> WagtailforkError:
+    return WagtailforkError(
+        ResultCode.record_malformed,
+        f'{what}: {shown!r}'[:_SHOWN],
+    )
+
+
+def _parse_table(raw: bytes) -> dict[str, Any]:
+    try:
+        document = json.loads(raw)
+    except (ValueError, RecursionError) as exc:
+        raise _malformed('not JSON', raw) from exc
+    if not isinstance(document, dict):
+        raise _malformed('not a table', document)
+    return document
+
+
+def decode_configuration(raw: bytes) -> Configuration:
+    """Decode a configuration or raise ``record_malformed``."""
+    document = _parse_table(raw)
+    try:
+        return _read_configuration(document)
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        raise _malformed('configuration', exc) from exc
+
+
+def _read_configuration(document: dict[str, Any]) -> Configuration:
+    routes = {
+        name: _read_route(name, fields)
+        for name, fields in document['routes'].items()
+    }
+    services = {
+        name: _read_service(name, fields)
+        for name, fields in document['services'].items()
+    }
+    return Configuration(
+        version=int(document['version']),
+        routes=routes,
+        services=services,
+        limits=_read_limits(document.get('limits') or {}),
+        table=RouteTable(routes.values()),
+    )
+
+
+def _read_route(name: str, fields: dict[str, Any]) -> Route:
+    timeout_ms = fields.get('timeoutMs')
+    objective_ms = fields.get('targetLatencyMs') or _MS
+    return Route(
+        name=name,
+        host=fields['host'],
+        prefix=fields['pathPrefix'],
+        kind=_KINDS.get(fields.get('type', ''), RequestKind.once),
+        parts=_read_parts(fields),
+        timeout_s=timeout_ms / _MS if timeout_ms else None,
+        objective_s=objective_ms / _MS,
+        rank=int(fields.get('priority') or 0),
+        max_attempts=max(1, int(fields.get('maxAttempts') or 1)),
+    )
+
+
+def _read_parts(fields: dict[str, Any]) -> tuple[tuple[str, float], ...]:
+    backends = fields.get('backends')
+    if not backends:
+        return ((fields['service'], 1.0),)
+    parts = [(part['service'], float(part['weight'])) for part in backends]
+    return tuple(part for part in parts if part[1] > 0) or tuple(parts)
+
+
+def _read_service(name: str, fields: dict[str, Any]) -> ServiceRule:
+    return ServiceRule(
+        name=name,
+        health_path=fields.get('healthPath') or '/health',
+        max_connections=int(fields.get('maxConns') or 0),
+    )
+
+
+def _read_limits(fields: dict[str, Any]) -> Limits:
+    usual = Limits()
+    header_ms = fields.get('headerTimeoutMs')
+    idle_ms = fields.get('idleTimeoutMs')
+    return Limits(
+        max_header_bytes=int(
+            fields.get('maxHeaderBytes') or usual.max_header_bytes,
+        ),
+        max_body_bytes=int(fields.get('maxBodyBytes') or usual.max_body_bytes),
+        header_timeout_s=header_ms / _MS if header_ms else usual.header_timeout_s,
+        idle_timeout_s=idle_ms / _MS if idle_ms else usual.idle_timeout_s,
+    )
+
+
+def _text_of(fields: dict[str, Any], key: str) -> str:
+    found = fields.get(key)
+    if not isinstance(found, str) or not found:
+        raise _malformed(key, found)
+    return found
+
+
+def _count_of(fields: dict[str, Any], key: str) -> int:
+    found = fields.get(key)
+    if isinstance(found, bool) or not isinstance(found, (int, float)):
+        raise _malformed(key, found)
+    if found < 0 or found != found or found > 1e15:
+        raise _malformed(key, found)
+    return int(found)
+
+
+def decode_server(name: str, raw: bytes) -> BackendServer:
+    """Decode the entry of a backend server or raise ``record_malformed``.
+
+    >>> decode_server('a', b'{"service": 5}')
+    Traceback (most recent call last):
+    ...
+    wagtailfork.core.errors.WagtailforkError: code=5006 ...
+    """
+    fields = _parse_table(raw)
+    state = _text_of(fields, 'state')
+    if state not in {_READY, _DRAINING}:
+        raise _malformed('state', state)
+    address = _text_of(fields, 'address')
+    host, colon, port = address.rpartition(':')
+    if not host or not colon or not port.isdecimal():
+        raise _malformed('address', address)
+    return BackendServer(
+        name=name,
+        born_ms=_count_of(fields, 'born') if 'born' in fields else 0,
+        service=_text_of(fields, 'service'),
+        address=address,
+        failure_domain=_text_of(fields, 'zone'),
+        slots=max(1, _count_of(fields, 'capacity')),
+        draining=state == _DRAINING,
+        warm_up_s=_count_of(fields, 'warmupLeftMs') / _MS,
+    )
--- /dev/null
+++ b/wagtailfork/platform/headers.py
@@ -0,0 +1,125 @@
+"""Header names that callers and backend servers of the platform use."""
+
+from typing import Final
+
+import attrs
+
+from ..gateway.dialect import AnswerFacts, RequestFacts
+from ..http1.answers import Answer
+from ..http1.caller import CallerRequest
+from ..http1.headers import Header, end_to_end, header_value, render_head
+from ..routing.load import LoadReport, report_now
+
+_MS: Final = 1000
+_MISDIRECTED: Final = 421
+_PERCENT: Final = 100
+_USUAL_PERCENT: Final = b'100'
+_COUNTS: Final = 3
+
+_REQUEST_ID: Final = b'request-id'
+_DEADLINE: Final = b'request-deadline-ms'
+_TARGET: Final = b'target-instance'
+_SIGNATURE: Final = b'server-signature'
+_NOT_EXECUTED: Final = b'not-executed'
+_LOAD: Final = b'server-load'
+_INSTANCE: Final = b'instance-id'
+
+_FROM_CALLER: Final = frozenset((_DEADLINE, _TARGET))
+_FROM_SERVER: Final = frozenset((_LOAD, _INSTANCE, _NOT_EXECUTED))
+
+
+def parse_load(text: bytes) -> LoadReport | None:
+    """Read the counts and the slowness that a server tells.
+
+    >>> report = parse_load(b'3,1,4,250')
+    >>> report.running, report.waiting, report.slots, report.slowness
+    (3, 1, 4, 2.5)
+    >>> parse_load(b'x') is None
+    True
+    """
+    parts = [part.strip() for part in text.split(b',')]
+    if len(parts) == _COUNTS:
+        parts.append(_USUAL_PERCENT)
+    try:
+        running, waiting, slots, percent = (float(part) for part in parts)
+    except ValueError:
+        return None
+    return report_now(
+        int(running),
+        int(waiting),
+        int(slots),
+        max(0.1, percent / _PERCENT),
+    )
+
+
+def _text(raw: bytes | None) -> str | None:
+    return None if raw is None else raw.decode('latin-1')
+
+
+@attrs.frozen
+class PlatformDialect:
+    """Read and render the platform's headers."""
+
+    def read_request(self, req: CallerRequest) -> RequestFacts:
+        """Read the id of a request and how long its caller waits."""
+        deadline = req.find(_DEADLINE)
+        patience_s = None
+        if deadline is not None and deadline.strip().isdigit():
+            patience_s = int(deadline) / _MS
+        return RequestFacts(
+            request_id=_text(req.find(_REQUEST_ID)) or '',
+            deadline_s=patience_s,
+        )
+
+    def read_answer(self, answer: Answer) -> AnswerFacts:
+        """Read what a backend server told."""
+        load = answer.find(_LOAD)
+        other_server = answer.status == _MISDIRECTED
+        return AnswerFacts(
+            request_id=_text(answer.find(_REQUEST_ID)),
+            signed=answer.find(_SIGNATURE) is not None,
+            not_run=other_server or answer.find(_NOT_EXECUTED) is not None,
+            other_server=other_server,
+            encoded=answer.find(b'content-encoding') is not None,
+            server=_text(answer.find(_INSTANCE)),
+            load=None if load is None else parse_load(load),
+        )
+
+    def render_request(
+        self,
+        req: CallerRequest,
+        left_s: float,
+        server: str,
+    ) -> bytes:
+        """Render the head of a request, framed for its body."""
+        headers = end_to_end(req.headers, _FROM_CALLER)
+        headers.append((b'Request-Deadline-Ms', b'%d' % max(1, left_s * _MS)))
+        headers.append((b'Target-Instance', server.encode('latin-1')))
+        headers.extend(_framing(req))
+        return render_head(b'%b %b HTTP/1.1' % (req.method, req.target), headers)
+
+    def answer_headers(self, answer: Answer) -> list[Header]:
+        """Give the headers that go to the caller unchanged."""
+        return end_to_end(answer.headers, _FROM_SERVER)
+
+    def refusal_headers(
+        self,
+        code: int,
+        retry_after_s: float | None,
+    ) -> list[Header]:
+        """Give the headers of an answer of the gateway's own."""
+        headers = [(b'Wagtailfork-Result', b'%d' % code)]
+        if retry_after_s is not None:
+            headers.append((b'Retry-After', b'%.3f' % retry_after_s))
+        return headers
+
+
+def _framing(req: CallerRequest) -> list[Header]:
+    if req.body.complete:
+        if req.body.size or header_value(req.headers, b'content-length'):
+            return [(b'Content-Length', b'%d' % req.body.size)]
+        return []
+    length = header_value(req.headers, b'content-length')
+    if length is not None:
+        return [(b'Content-Length', length)]
+    return [(b'Transfer-Encoding', b'chunked')]
--- /dev/null
+++ b/wagtailfork/routing/allowance.py
@@ -0,0 +1,49 @@
+"""This VM's share of the retries that a service bears."""
+
+from collections import deque
+
+import attrs
+
+
+@attrs.define
+class RetryAllowance:
+    """Allow second sends as a share of own requests in a sliding window.
+
+    ``slack`` is for all VMs together, so each takes its part of it.
+
+    >>> allowance = RetryAllowance(ratio=0.5, slack=2, window_s=10)
+    >>> [allowance.spend(now=0.0, vms=2) for _ in range(2)]
+    [True, False]
+    >>> for _ in range(2):
+    ...     allowance.earn(now=1.0)
+    >>> allowance.spend(now=1.0, vms=2), allowance.spend(now=1.0, vms=2)
+    (True, False)
+    """
+
+    ratio: float
+    slack: float
+    window_s: float
+    _earned: deque[float] = attrs.field(factory=deque)
+    _spent: deque[float] = attrs.field(factory=deque)
+
+    def earn(self, now: float) -> None:
+        """Count one request of a caller."""
+        self._earned.append(now)
+
+    def spend(self, now: float, vms: int, *, share: float = 1.0) -> bool:
+        """Take one retry if this ``share`` of the allowance still has it."""
+        self._forget(now)
+        most = self.ratio * len(self._earned) + self.slack / max(1, vms)
+        if len(self._spent) + 1 > share * most:
+            return False
+        self._spent.append(now)
+        return True
+
+    def charge(self, now: float) -> None:
+        """Count a retry that cannot be held back any more."""
+        self._spent.append(now)
+
+    def _forget(self, now: float) -> None:
+        for times in (self._earned, self._spent):
+            while times and now - times[0] > self.window_s:
+                times.popleft()
--- /dev/null
+++ b/wagtailfork/routing/load.py
@@ -0,0 +1,131 @@
+"""How busy and how slow a backend server is, from reports that age."""
+
+from typing import Final
+
+import attrs
+
+from ..core.clock import now_s
+
+REPORT_TRUSTED_S: Final = 0.4  # noise on shared VMs changes faster than this
+SLOW_FADES_S: Final = 0.6  # a slowdown reported this long ago is half believed
+ERROR_GAIN: Final = 0.2  # weight of the newest outcome in the error share
+ERROR_HALF_LIFE_S: Final = 2.0
+OUT_FIRST_S: Final = 0.5
+OUT_LONGEST_S: Final = 4.0
+
+
+@attrs.frozen
+class LoadReport:
+    """Hold one report of a backend server: counts, and slowness (1 usual)."""
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float = 1.0
+    at_s: float = 0
+
+
+@attrs.define(eq=False)
+class ServerLoad:
+    """Combine own sends, those of neighbours and reports for one server.
+
+    >>> load = ServerLoad(slots=4)
+    >>> load.begin(); load.begin()
+    >>> load.busy(now=0.0)
+    2
+    >>> load.note_report(LoadReport(running=4, waiting=1, slots=4, at_s=1.0))
+    >>> load.busy(now=1.0)
+    5
+    """
+
+    slots: int
+    own: int = 0
+    neighbours: dict[str, int] = attrs.field(factory=dict)
+    report: LoadReport | None = None
+    error_share: float = 0
+    out_until_s: float = 0
+    started: int = 0
+    _begun_since_report: int = 0
+    _error_at_s: float = 0
+    _out_s: float = OUT_FIRST_S
+
+    def begin(self) -> None:
+        """Count a request sent."""
+        self.own += 1
+        self.started += 1
+        self._begun_since_report += 1
+
+    def end(self) -> None:
+        """Count a request that ended."""
+        self.own -= 1
+
+    def note_neighbour(self, vm: str, in_flight: int) -> None:
+        """Take over how many requests another VM has at the server."""
+        before = self.neighbours.get(vm, 0)
+        self._begun_since_report += max(0, in_flight - before)
+        if in_flight:
+            self.neighbours[vm] = in_flight
+        else:
+            self.neighbours.pop(vm, None)
+
+    def note_report(self, report: LoadReport) -> bool:
+        """Take over a report unless a newer one is known."""
+        if self.report is not None and report.at_s <= self.report.at_s:
+            return False
+        self.report = report
+        self.slots = report.slots or self.slots
+        self._begun_since_report = 0
+        return True
+
+    def busy(self, now: float) -> int:
+        """Estimate the requests at the server, running or queued there."""
+        known = self.own + sum(self.neighbours.values())
+        report = self.report
+        if report is None or now - report.at_s > REPORT_TRUSTED_S:
+            return known
+        told = report.running + report.waiting + self._begun_since_report
+        # Since the report some may have ended; what is known still runs.
+        ended = (now - report.at_s) / REPORT_TRUSTED_S
+        faded = report.running + report.waiting - known
+        if faded <= 0:
+            return known
+        return max(known, min(told, known + round(faded * (1 - ended))))
+
+    def slowness(self, now: float) -> float:
+        """Estimate how much slower than usual work runs now."""
+        report = self.report
+        if report is None:
+            return 1.2
+        age = max(0, now - report.at_s)
+        believed = 0.5 ** (age / SLOW_FADES_S)
+        return 1.2 + (report.slowness - 1.2) * believed
+
+    def note_outcome(self, now: float, *, failed: bool) -> None:
+        """Move the share of failures towards the newest outcome."""
+        share = self.failing(now)
+        self.error_share = share + ERROR_GAIN * (float(failed) - share)
+        self._error_at_s = now
+        if not failed:
+            self.out_until_s = 0
+            self._out_s = OUT_FIRST_S
+
+    def failing(self, now: float) -> float:
+        """Give the share of recent requests that failed, fading with time."""
+        age = max(0, now - self._error_at_s)
+        return self.error_share * 0.5 ** (age / ERROR_HALF_LIFE_S)
+
+    def take_out(self, now: float) -> None:
+        """Keep requests away for a while, longer each time."""
+        if now < self.out_until_s:
+            return
+        self.out_until_s = now + self._out_s
+        self._out_s = min(self._out_s * 2, OUT_LONGEST_S)
+
+    def bring_back(self) -> None:
+        """Let requests go to the server again."""
+        self.out_until_s = 0
+
+
+def report_now(running: int, waiting: int, slots: int, slowness: float) -> LoadReport:
+    """Stamp a report with the present time."""
+    return LoadReport(running, waiting, slots, slowness, now_s())
--- /dev/null
+++ b/wagtailfork/routing/work_time.py
@@ -0,0 +1,39 @@
+"""How long the work of each route takes on an idle, usual server."""
+
+from typing import Final
+
+import attrs
+
+FIRST_GUESS: Final = 0.35  # of the objective, until an answer was timed
+GAIN: Final = 0.05
+SHORTEST_S: Final = 0.001
+
+
+@attrs.define
+class WorkTimes:
+    """Average service times by route, cleared of the server's slowness.
+
+    >>> times = WorkTimes()
+    >>> round(times.expect('r', objective_s=0.2), 3)
+    0.07
+    >>> times.note('r', service_s=0.2, slowness=2.0)
+    >>> times.expect('r', objective_s=0.2)
+    0.1
+    """
+
+    _means: dict[str, float] = attrs.field(factory=dict)
+
+    def expect(self, route: str, objective_s: float) -> float:
+        """Give the expected service time in seconds."""
+        return self._means.get(route, objective_s * FIRST_GUESS)
+
+    def note(self, route: str, service_s: float, slowness: float) -> None:
+        """Add one timed answer."""
+        cleared = max(SHORTEST_S, service_s / max(0.5, slowness))
+        before = self._means.get(route)
+        if before is None:
+            self._means[route] = cleared
+            return
+        # One straggler must not move the mean far.
+        bounded = min(cleared, before * 4)
+        self._means[route] = before + GAIN * (bounded - before)
