Test the gateway on stand-ins of the platform's store and backend servers

At the start all VMs read the store, as none had heard another yet; changes are now told in one message. Ruled out: nothing.

--- a/wagtailfork/gateway/fleet_link.py
+++ b/wagtailfork/gateway/fleet_link.py
@@ -25,6 +25,7 @@
 
 NEAR_DIGEST_S: Final = 0.25  # reports to the region's other domains
 TAKE_OVER_S: Final = 0.6  # time for the first VM to be heard reading
+GREETINGS_S: Final = 0.7  # in which a VM that starts hears of the others
 FAR_DIGEST_S: Final = 1.0  # reports to other regions, whose trips take 60 ms
 _READER_KEY: Final = 'store-reader'
 _SPEAKER_KEY: Final = 'speaker'
@@ -32,6 +33,10 @@
 _logger = logging.getLogger(__name__)
 
 
+def _after_greetings() -> float:
+    return now_s() + GREETINGS_S
+
+
 @attrs.define(eq=False, kw_only=True)
 class FleetLink:
     """Take part in the fleet."""
@@ -44,6 +49,7 @@
     quarantine: Quarantine
     is_ready: Callable[[], bool]
     is_reading: Callable[[], bool]
+    reads_from_s: float = attrs.field(factory=_after_greetings)
     _datagrams: Datagrams = attrs.field(init=False)
     _sharing: LoadSharing = attrs.field(init=False)
     _fetching: bool = False
@@ -135,6 +141,8 @@
         as no neighbour is heard to follow it with success.
         """
         now = now_s()
+        if now < self.reads_from_s:
+            return False
         neighbours = self.membership.neighbours(now)
         others = [one for one in neighbours if one.reading]
         if not others:
--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -31,6 +31,7 @@
 
 SWEEP_S: Final = 1.0
 FLUSH_S: Final = 0.1
+NEWS_S: Final = 0.02  # changes that come together are told together
 FAR_NEWS_S: Final = 0.3  # time for other domains to learn a change themselves
 FIRST_LIST_S: Final = 0.5  # VMs that start together list themselves meanwhile
 RELIST_S: Final = 5.0  # while no other VM is heard
@@ -101,6 +102,7 @@
         self.pool = ConnectionPool()
         self.leaving = False
         self._stop = asyncio.Event()
+        self._news: asyncio.TimerHandle | None = None
         self._allowances: dict[str, RetryAllowance] = {}
         self.membership = Membership(self._describe_me())
         self.geography = Geography(
@@ -297,6 +299,12 @@
         cfg = self.view.configuration
         if cfg is not None:
             self.forwarder.turns.forget(cfg.routes)
+        if self._news is None:
+            loop = asyncio.get_running_loop()
+            self._news = loop.call_later(NEWS_S, self._announce)
+
+    def _announce(self) -> None:
+        self._news = None
         self.link.announce()
         loop = asyncio.get_running_loop()
         loop.call_later(FAR_NEWS_S, self.link.announce_far)
--- /dev/null
+++ b/wagtailfork/gateway/tests/rig.py
@@ -0,0 +1,215 @@
+"""A small deployment on the platform's stand-ins, in one loop on loopback."""
+
+import asyncio
+import json
+import socket
+from typing import Any, Final
+
+import attrs
+
+from ...core.server import HttpServer, bind
+from ...core.settings import GatewaySettings, RetryShare
+from ...http1.answers import Answer
+from ...http1.backend import connect
+from ...http1.body import Body
+from ...http1.headers import render_head
+from ...platform.adapter import make_gateway
+from ...standin.keyed_store import KeyedStoreStandin
+from ...standin.scripted_backend import ScriptedBackend
+from ..node import GatewayNode
+
+CONFIG_TOPIC: Final = 'keyed.op'
+SERVERS_TOPIC: Final = 'keyed.servers'
+HOST: Final = 'shop.example'
+STEP_S: Final = 0.01
+LIMIT_S: Final = 10.0  # for anything that a test waits for
+
+
+def free_address() -> str:
+    """Give an unused address of loopback."""
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{sock.getsockname()[1]}'
+
+
+def make_route(**changes: Any) -> dict[str, Any]:
+    """Give a route as operators write it."""
+    fields: dict[str, Any] = {
+        'host': HOST,
+        'pathPrefix': '/look/',
+        'type': 'safe',
+        'timeoutMs': 2000,
+        'targetLatencyMs': 250,
+        'priority': 1,
+        'service': 'stock',
+        'maxAttempts': 2,
+    }
+    fields.update(changes)
+    return fields
+
+
+def make_config(version: int, **routes: dict[str, Any]) -> bytes:
+    """Give a configuration as operators write it."""
+    routes = routes or {
+        'look': make_route(),
+        'pay': make_route(pathPrefix='/pay/', type='unsafe'),
+    }
+    document = {
+        'version': version,
+        'routes': routes,
+        'services': {'stock': {'healthPath': '/health', 'maxConns': 100}},
+        'limits': {
+            'maxHeaderBytes': 4096,
+            'maxBodyBytes': 1000000,
+            'headerTimeoutMs': 300,
+            'idleTimeoutMs': 5000,
+        },
+    }
+    return json.dumps(document).encode()
+
+
+@attrs.define(eq=False)
+class Rig:
+    """Run stand-ins and gateways."""
+
+    store: KeyedStoreStandin = attrs.field(factory=KeyedStoreStandin)
+    store_address: str = attrs.field(factory=free_address)
+    backends: dict[str, ScriptedBackend] = attrs.field(factory=dict)
+    nodes: list[GatewayNode] = attrs.field(factory=list)
+    _tasks: list['asyncio.Task[Any]'] = attrs.field(factory=list)
+
+    async def start(self, backends: int = 2, gateways: int = 1) -> None:
+        """Start everything and wait until it serves."""
+        await self.start_store()
+        self.store.put(CONFIG_TOPIC, 'config', make_config(1))
+        for number in range(backends):
+            await self.add_backend(f'b{number}')
+        for number in range(gateways):
+            self.add_gateway(f'vm{number}')
+        await self.until(lambda: all(node.is_ready() for node in self.nodes))
+        await self.until(self._all_listed)
+
+    async def start_store(self) -> None:
+        """Serve the store's stand-in."""
+        server = HttpServer(self.store.app(), bind(self.store_address))
+        self._tasks.append(asyncio.create_task(server.run()))
+
+    async def add_backend(self, name: str) -> ScriptedBackend:
+        """Start and register a backend server."""
+        backend = ScriptedBackend(name)
+        await backend.start()
+        self.backends[name] = backend
+        self.register(backend)
+        return backend
+
+    def register(self, backend: ScriptedBackend, **changes: Any) -> None:
+        """Write the entry of a backend server."""
+        fields = {
+            'service': 'stock',
+            'address': backend.address,
+            'zone': 'a',
+            'version': 'v1',
+            'capacity': backend.slots,
+            'state': 'ready',
+            'warmupLeftMs': 0,
+            'seq': 1,
+            'born': 1,
+        }
+        fields.update(changes)
+        self.store.put(SERVERS_TOPIC, backend.name, json.dumps(fields).encode())
+
+    def add_gateway(self, vm: str, **changes: Any) -> GatewayNode:
+        """Start a gateway."""
+        cfg = GatewaySettings(
+            vm=vm,
+            region='r',
+            failure_domain='a',
+            regions={'a': 'r'},
+            caller_address=free_address(),
+            ready_address=free_address(),
+            directory_address=free_address(),
+            fleet_address=free_address(),
+            store_address=self.store_address,
+            retries=RetryShare(slack=50),
+            stop_accepts_s=0.2,
+            stop_limit_s=2,
+            **changes,
+        )
+        node = make_gateway(cfg)
+        self.nodes.append(node)
+        self._tasks.append(asyncio.create_task(node.run()))
+        return node
+
+    async def call(
+        self,
+        path: str,
+        request_id: str = 'r1',
+        body: bytes = b'',
+        node: int = 0,
+        deadline_ms: int = 1500,
+    ) -> Answer:
+        """Send one request on a new connection; give the whole answer."""
+        method = 'POST' if body else 'GET'
+        headers = [
+            (b'Host', HOST.encode()),
+            (b'Request-Id', request_id.encode()),
+            (b'Request-Deadline-Ms', b'%d' % deadline_ms),
+        ]
+        if body:
+            headers.append((b'Content-Length', b'%d' % len(body)))
+        head = render_head(f'{method} {path} HTTP/1.1'.encode(), headers)
+        return await self.send_raw(
+            self.nodes[node].cfg.caller_address,
+            head,
+            body,
+        )
+
+    async def send_raw(
+        self,
+        address: str,
+        head: bytes,
+        body: bytes = b'',
+    ) -> Answer:
+        """Send a request to any address; give the whole answer."""
+        host, _, port = address.rpartition(':')
+        conn = await connect(host, int(port), LIMIT_S)
+        payload = Body()
+        payload.feed(body)
+        payload.finish()
+        try:
+            answer = await conn.exchange(head, payload)
+            await answer.body.wait_filled()
+        finally:
+            conn.close()
+        return answer
+
+    async def get(self, address: str, target: str) -> Answer:
+        """Ask one of the side addresses."""
+        head = render_head(f'GET {target} HTTP/1.1'.encode(), [(b'Host', b'x')])
+        return await self.send_raw(address, head)
+
+    async def until(self, condition: Any) -> None:
+        """Wait for a condition; fail after a long time."""
+        async with asyncio.timeout(LIMIT_S):
+            while not condition():
+                await asyncio.sleep(STEP_S)
+
+    async def stop(self) -> None:
+        """Stop everything at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for backend in self.backends.values():
+            await backend.stop()
+
+    def runs(self) -> list[str]:
+        """Give the ids of all requests that ran."""
+        return [
+            seen.headers['request-id']
+            for backend in self.backends.values()
+            for seen in backend.runs
+        ]
+
+    def _all_listed(self) -> bool:
+        wanted = set(self.backends)
+        return all(wanted <= set(node.view.servers) for node in self.nodes)
--- a/wagtailfork/routing/load.py
+++ b/wagtailfork/routing/load.py
@@ -34,6 +34,7 @@
     >>> load.busy(now=0.0)
     2
     >>> load.note_report(LoadReport(running=4, waiting=1, slots=4, at_s=1.0))
+    True
     >>> load.busy(now=1.0)
     5
     """
--- a/wagtailfork/routing/worth.py
+++ b/wagtailfork/routing/worth.py
@@ -56,7 +56,7 @@
     >>> idle = ServerLoad(slots=4)
     >>> need = Need(objective_s=0.2, deadline_s=1, work_s=0.05)
     >>> predict(idle, need, Distance(), now=0).wait_s
-    0
+    0.0
     """
     busy = load.busy(now) + ahead
     service_s = need.work_s * load.slowness(now)
