Judge old reports by what servers are like in general

Cause: a report that had aged was taken as usual speed, so far servers looked better than known ones (14 in 100 went far, p50 385 ms at an aim of 400); a probe on a new connection waits for a slot at a full server and was taken for silence, which kept good servers out for seconds; second copies were due only when too late to matter (41 of 2,345). Ruled out: speed fixed at a request's start (the tail at p97 shows slowdowns that begin within a run).

--- a/wagtailfork/gateway/forwarder.py
+++ b/wagtailfork/gateway/forwarder.py
@@ -21,7 +21,7 @@
 from ..routing.quarantine import Quarantine
 from ..routing.routes import Route, WeightedTurns
 from ..routing.work_time import WorkTimes
-from ..routing.worth import FULL_SHARE, FULL_SLOWDOWN
+from ..routing.worth import FULL_SHARE, FULL_SLOWDOWN, worth_at
 from .dialect import AnswerFacts, Dialect, RequestFacts
 from .roster import Roster
 from .view import View
@@ -29,10 +29,12 @@
 DEFAULT_DEADLINE_S: Final = 10.0  # for callers that name none
 CONNECT_S: Final = 0.4  # six round trips between regions
 MOST_TRIES: Final = 5  # servers tried while none has taken a byte
-HEDGE_AFTER: Final = 1.6  # expected answer times until a second copy goes out
+# Expected service times after which a second copy is considered.
+HEDGE_CHECKS: Final = (0.35, 0.7, 1.1, 1.6, 2.5, 4, 6, 9, 14, 1000)
 HEDGE_SHARE: Final = 0.6  # of the retry allowance; the rest is for failures
-HEDGE_LEAST_WORTH: Final = 0.3
+HEDGE_LEAST_GAIN: Final = 0.2  # of the answer's worth, for a second copy
 HEDGE_STEP_S: Final = 0.02  # how often a request not sent yet is looked at
+HEADS_KB: Final = 0.6  # of both heads and the packets that carry them
 ANSWER_MARGIN_S: Final = 0.03  # so that our answer precedes the deadline
 NOT_READY_RETRY_S: Final = 0.3
 _SERVER_ERROR: Final = 500
@@ -73,6 +75,8 @@
     sends: int = 0
     tries: int = 0
     sent_at_s: float = 0
+    checks: int = 0
+    candidate: Candidate | None = None
     may_have_run: bool = False
 
     def left_s(self) -> float:
@@ -173,7 +177,8 @@
         if call.req.body.broken:
             call.req.break_off()
             return
-        call.ticket.kilobytes = 1 + call.req.body.size / 1024
+        answer_kb = self.work.expect_kb(call.route.name)
+        call.ticket.kilobytes = HEADS_KB + answer_kb + call.req.body.size / 1024
         call.fingerprint = _fingerprint(call.req)
         if self.quarantine.is_refused(call.fingerprint, now_s()):
             self._refuse(
@@ -226,7 +231,7 @@
     # Hedges: a second copy of a slow repeatable request.
 
     async def _race(self, call: _Call) -> Sent:
-        tasks = {asyncio.ensure_future(self._send_once(call))}
+        tasks = {asyncio.create_task(self._send_once(call))}
         hedged = not call.route.repeatable
         try:
             while True:
@@ -237,9 +242,9 @@
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 if not done:
-                    if call.sends and now_s() >= _hedge_at(call):
-                        hedged = True
-                        tasks |= self._hedge(call)
+                    copies = await self._consider_copy(call)
+                    hedged = bool(copies)
+                    tasks |= copies
                     continue
                 best = _best(done)
                 if best.good or not tasks:
@@ -251,23 +256,57 @@
     def _hedge_in_s(self, call: _Call) -> float:
         if not call.sends:
             return HEDGE_STEP_S
-        return max(0, _hedge_at(call) - now_s())
+        due_s = call.sent_at_s + call.ticket.work_s * HEDGE_CHECKS[call.checks]
+        return max(0, due_s - now_s())
 
-    def _hedge(self, call: _Call) -> set['asyncio.Future[Sent]']:
-        if call.sends != 1 or call.route.max_attempts < 2:
+    async def _consider_copy(self, call: _Call) -> set['asyncio.Task[Sent]']:
+        """Send a second copy if the first is expected much later."""
+        candidate = call.candidate
+        if not call.sends or candidate is None or call.sends > 1:
             return set()
+        call.checks = min(call.checks + 1, len(HEDGE_CHECKS) - 1)
+        if call.route.max_attempts < 2:
+            return set()
+        if candidate.must_look(now_s()):
+            await self.roster.look(candidate)
         now = now_s()
         choice = call.queue.choose(call.ticket, {}, now)
         if choice is None or not choice.free:
             return set()
-        if choice.forecast.worth < HEDGE_LEAST_WORTH:
+        gain = choice.forecast.worth - self._worth_of_rest(call, candidate, now)
+        if gain < HEDGE_LEAST_GAIN:
             return set()
         allowance = self.allowance(call.service)
         if not allowance.spend(now, self.vms(), share=HEDGE_SHARE):
             return set()
         self.counters.hedges += 1
-        self.log.emit('hedged', id=call.facts.request_id, route=call.route.name)
-        return {asyncio.ensure_future(self._send_once(call))}
+        self.log.emit(
+            'second_copy',
+            id=call.facts.request_id,
+            route=call.route.name,
+            gain=round(gain, 2),
+            first=candidate.name,
+            slowness=candidate.load.slowness(now),
+            elapsed_ms=(now - call.sent_at_s) * 1000,
+        )
+        return {asyncio.create_task(self._send_once(call))}
+
+    def _worth_of_rest(
+        self,
+        call: _Call,
+        candidate: Candidate,
+        now: float,
+    ) -> float:
+        """Forecast the worth of an answer that is under way."""
+        need = call.ticket.need(now)
+        elapsed_s = now - call.sent_at_s
+        # Past its expected end, half of the work is taken to be left.
+        rest_s = max(need.work_s - elapsed_s, need.work_s / 2)
+        if now < candidate.load.out_until_s:
+            return 0
+        service_s = rest_s * candidate.load.slowness(now)
+        answer_s = service_s + candidate.distance.round_trip_s / 2
+        return worth_at(answer_s, service_s, need)
 
     # One send.
 
@@ -323,11 +362,13 @@
         head = self.dialect.render_request(req, left_s, candidate.name)
         call.sends += 1
         call.sent_at_s = begun
+        call.candidate = candidate
         self.log.emit(
             'sent',
             id=call.facts.request_id,
             route=call.route.name,
             server=candidate.name,
+            far=candidate.distance.round_trip_s * 1000,
             busy=candidate.load.busy(begun),
             slowness=candidate.load.slowness(begun),
             waited_ms=(begun - req.arrived_s) * 1000,
@@ -355,6 +396,7 @@
         self._judge(call, candidate, sent, answer)
         if sent.good and sent.answer is not None:
             self.work.note(call.route.name, now_s() - begun, slowness)
+            self.work.note_size(call.route.name, sent.answer.body.size)
         return sent
 
     def _accepts(self, call: _Call) -> Callable[[Answer], bool]:
@@ -524,7 +566,7 @@
         req.answer(http_status(code), headers)
 
 
-def _best(done: 'set[asyncio.Future[Sent]]') -> Sent:
+def _best(done: 'set[asyncio.Task[Sent]]') -> Sent:
     results = [task.result() for task in done]
     for sent in results:
         if sent.good:
@@ -535,10 +577,6 @@
     return results[0]
 
 
-def _hedge_at(call: _Call) -> float:
-    return call.sent_at_s + call.ticket.work_s * HEDGE_AFTER
-
-
 def _slowness(candidate: Candidate, now: float) -> float:
     load = candidate.load
     slowness = load.slowness(now)
--- a/wagtailfork/gateway/prober.py
+++ b/wagtailfork/gateway/prober.py
@@ -17,6 +17,7 @@
 from ..http1.headers import render_head
 from ..http1.pool import ConnectionPool
 from ..routing.late_binding import Candidate
+from ..routing.load import report_now
 from .dialect import Dialect
 from .model import BackendServer
 from .roster import Geography, Roster
@@ -25,6 +26,7 @@
 ANSWER_S: Final = 0.25  # a server that takes longer is taken as silent
 DEMAND_S: Final = 2.0  # a service without requests for so long is left alone
 LOOK_S: Final = 0.04  # beyond the trip; servers answer within 1 ms
+SILENT_PROBES: Final = 2  # in a row, until a server is taken as silent
 SILENT_PERIODS: Final = 3  # a silent server is asked this much less often
 NO_LOAD_PERIODS: Final = 20  # a server without load figures, likewise
 
@@ -70,7 +72,7 @@
             async with asyncio.timeout(limit_s):
                 told = await self._exchange(server, candidate)
         except (NothingSent, AnswerFailed, TimeoutError) as exc:
-            self._note_silent(candidate, repr(exc))
+            self._note_silent(candidate, exc)
             return
         candidate.tells_load = told
 
@@ -141,7 +143,7 @@
             async with asyncio.timeout(ANSWER_S):
                 told = await self._exchange(server, candidate)
         except (NothingSent, AnswerFailed, TimeoutError) as exc:
-            self._note_silent(candidate, repr(exc))
+            self._note_silent(candidate, exc)
             periods = SILENT_PERIODS
         else:
             if not told:
@@ -173,7 +175,9 @@
             return True
         if facts.load is None:
             return False
+        candidate.load.unanswered = 0
         candidate.load.bring_back()
+        self.roster.noise.note(facts.load.slowness)
         if candidate.load.note_report(facts.load):
             self.tell(candidate, False)
         return True
@@ -185,8 +189,22 @@
         line = f'GET {path} HTTP/1.1'.encode()
         return render_head(line, [(b'Host', server.address.encode())])
 
-    def _note_silent(self, candidate: Candidate, why: str) -> None:
-        candidate.load.take_out(now_s())
-        self.pool.drop(candidate.address)
-        self.log.emit('probe_failed', server=candidate.name, why=why)
-        self.tell(candidate, True)
+    def _note_silent(self, candidate: Candidate, exc: Exception) -> None:
+        load = candidate.load
+        load.unanswered += 1
+        silent = load.unanswered >= SILENT_PROBES
+        silent = silent or isinstance(exc, NothingSent)
+        if silent:
+            load.take_out(now_s())
+            self.pool.drop(candidate.address)
+        else:
+            # A full server keeps a new connection waiting for a slot.
+            slowness = load.slowness(now_s())
+            load.note_report(report_now(load.slots, 1, load.slots, slowness))
+        self.log.emit(
+            'probe_failed',
+            server=candidate.name,
+            why=repr(exc),
+            out=silent,
+        )
+        self.tell(candidate, silent)
--- a/wagtailfork/gateway/roster.py
+++ b/wagtailfork/gateway/roster.py
@@ -7,7 +7,7 @@
 
 from ..core.clock import now_s
 from ..routing.late_binding import Candidate, Look, ServiceQueue
-from ..routing.load import ServerLoad
+from ..routing.load import Noise, ServerLoad
 from ..routing.worth import Distance
 from .model import BackendServer
 
@@ -27,7 +27,8 @@
     near_price: float
     far_price: float
     near_trip_s: float = 0.003
-    far_trip_s: float = 0.062
+    # One trip and a half: half of the requests need a new connection.
+    far_trip_s: float = 0.093
 
     def distance(self, domain: str) -> Distance:
         """Give the distance to servers of a failure domain."""
@@ -56,6 +57,7 @@
     geography: Geography
     on_gone: Callable[[str], None]
     look: Look
+    noise: Noise = attrs.field(factory=Noise)
     queues: dict[str, ServiceQueue] = attrs.field(factory=dict)
     _known: dict[str, BackendServer] = attrs.field(factory=dict)
 
@@ -63,7 +65,7 @@
         """Give the queue of a service."""
         found = self.queues.get(service)
         if found is None:
-            found = ServiceQueue(service, self.look)
+            found = ServiceQueue(service, self.look, self.noise)
             self.queues[service] = found
         return found
 
--- a/wagtailfork/http1/pool.py
+++ b/wagtailfork/http1/pool.py
@@ -8,7 +8,7 @@
 from .backend import BackendConnection, connect
 
 DEFAULT_IDLE_S: Final = 4.0  # below the idle limit of common servers, 5 s
-KEEP_ALIVE_SHARE: Final = 0.5  # of the server's limit, so no send races it
+KEEP_ALIVE_SHARE: Final = 0.7  # of the server's limit, so no send races it
 ONCE_IDLE_S: Final = 1.0  # a lost send of these costs more than a new one
 MAX_IDLE: Final = 8  # connections kept to one address
 
--- a/wagtailfork/routing/late_binding.py
+++ b/wagtailfork/routing/late_binding.py
@@ -13,7 +13,7 @@
 import attrs
 
 from ..core.clock import now_s
-from .load import ServerLoad
+from .load import Noise, ServerLoad
 from .worth import Distance, Forecast, Need, predict
 
 HOPELESS: Final = 0.02  # expected worth below which waiting serves nobody
@@ -103,6 +103,7 @@
 
     service: str
     look: Look = _trust
+    noise: Noise = attrs.field(factory=Noise)
     servers: dict[str, Candidate] = attrs.field(factory=dict)
     wanted_at_s: float = -NEVER_S
     _waiting: list[Ticket] = attrs.field(factory=list)
@@ -201,7 +202,7 @@
         best_worth = -NEVER_S
         offset = random.randrange(len(usable)) if usable else 0  # noqa: S311
         for candidate in usable[offset:] + usable[:offset]:
-            choice = _forecast(candidate, need, ahead, now)
+            choice = self._forecast(candidate, need, ahead, now)
             gained = choice.forecast.worth + _bonus(candidate, ticket, now)
             if gained > best_worth:
                 best, best_worth = choice, gained
@@ -219,6 +220,26 @@
             1 + len(waits)
         )
 
+    def _forecast(
+        self,
+        candidate: Candidate,
+        need: Need,
+        ahead: dict[str, int],
+        now: float,
+    ) -> Choice:
+        others = ahead.get(candidate.name, 0)
+        load = candidate.load
+        forecast = predict(
+            load,
+            need,
+            candidate.distance,
+            now,
+            noise=self.noise,
+            ahead=others,
+            cold=now < candidate.warm_at_s,
+        )
+        return Choice(candidate, forecast, load.busy(now) + others < load.slots)
+
     def _usable(self, ticket: Ticket, now: float) -> list[Candidate]:
         usable = []
         spare = []
@@ -244,25 +265,6 @@
     return ticket.rank, ticket.arrived_s
 
 
-def _forecast(
-    candidate: Candidate,
-    need: Need,
-    ahead: dict[str, int],
-    now: float,
-) -> Choice:
-    others = ahead.get(candidate.name, 0)
-    load = candidate.load
-    forecast = predict(
-        load,
-        need,
-        candidate.distance,
-        now,
-        ahead=others,
-        cold=now < candidate.warm_at_s,
-    )
-    return Choice(candidate, forecast, load.busy(now) + others < load.slots)
-
-
 def _bonus(candidate: Candidate, ticket: Ticket, now: float) -> float:
     untried = not (candidate.load.started or candidate.load.neighbours)
     if candidate.distance.price_per_kb:
--- a/wagtailfork/routing/load.py
+++ b/wagtailfork/routing/load.py
@@ -7,7 +7,9 @@
 from ..core.clock import now_s
 
 REPORT_TRUSTED_S: Final = 0.4  # noise on shared VMs changes faster than this
-SLOW_FADES_S: Final = 0.6  # a slowdown reported this long ago is half believed
+SLOW_FADES_S: Final = 0.15  # half the time for which noise stays as it is
+SLOW_FROM: Final = 1.5  # slowness from which a server counts as slow
+NOISE_GAIN: Final = 0.02  # weight of the newest report, of hundreds a second
 ERROR_GAIN: Final = 0.2  # weight of the newest outcome in the error share
 ERROR_HALF_LIFE_S: Final = 2.0
 OUT_FIRST_S: Final = 0.5
@@ -25,6 +27,28 @@
     at_s: float = 0
 
 
+@attrs.define
+class Noise:
+    """Learn how often servers are slow, and how slow they are then.
+
+    >>> noise = Noise()
+    >>> for _ in range(500):
+    ...     noise.note(4.0)
+    >>> round(noise.share, 1), round(noise.factor, 1)
+    (1.0, 4.0)
+    """
+
+    share: float = 0.2
+    factor: float = 3.0
+
+    def note(self, slowness: float) -> None:
+        """Add one report."""
+        slow = slowness > SLOW_FROM
+        self.share += NOISE_GAIN * (float(slow) - self.share)
+        if slow:
+            self.factor += NOISE_GAIN * (slowness - self.factor)
+
+
 @attrs.define(eq=False)
 class ServerLoad:
     """Combine own sends, those of neighbours and reports for one server.
@@ -45,6 +69,7 @@
     report: LoadReport | None = None
     error_share: float = 0
     out_until_s: float = 0
+    unanswered: int = 0  # probes in a row
     started: int = 0
     _begun_since_report: int = 0
     _error_at_s: float = 0
@@ -93,13 +118,14 @@
         return max(known, min(told, known + round(faded * (1 - ended))))
 
     def slowness(self, now: float) -> float:
-        """Estimate how much slower than usual work runs now."""
-        report = self.report
-        if report is None:
-            return 1.2
-        age = max(0, now - report.at_s)
-        believed = 0.5 ** (age / SLOW_FADES_S)
-        return 1.2 + (report.slowness - 1.2) * believed
+        """Give the slowness last told, 1 without a report."""
+        return self.report.slowness if self.report else 1.0
+
+    def belief(self, now: float) -> float:
+        """Tell how far the slowness last told is still believed, 0 to 1."""
+        if self.report is None:
+            return 0
+        return 0.5 ** (max(0, now - self.report.at_s) / SLOW_FADES_S)
 
     def note_outcome(self, now: float, *, failed: bool) -> None:
         """Move the share of failures towards the newest outcome."""
--- a/wagtailfork/routing/work_time.py
+++ b/wagtailfork/routing/work_time.py
@@ -22,6 +22,7 @@
     """
 
     _means: dict[str, float] = attrs.field(factory=dict)
+    _kilobytes: dict[str, float] = attrs.field(factory=dict)
 
     def expect(self, route: str, objective_s: float) -> float:
         """Give the expected service time in seconds."""
@@ -37,3 +38,12 @@
         # One straggler must not move the mean far.
         bounded = min(cleared, before * 4)
         self._means[route] = before + GAIN * (bounded - before)
+
+    def expect_kb(self, route: str) -> float:
+        """Give the expected size of an answer in kilobytes."""
+        return self._kilobytes.get(route, 1.0)
+
+    def note_size(self, route: str, size: int) -> None:
+        """Add the size of one answer in bytes."""
+        before = self.expect_kb(route)
+        self._kilobytes[route] = before + GAIN * (size / 1024 - before)
--- a/wagtailfork/routing/worth.py
+++ b/wagtailfork/routing/worth.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from .load import ServerLoad
+from .load import Noise, ServerLoad
 
 LATE_WORTH: Final = 0.1  # of an answer in time; the users' sheets say so
 SPREAD: Final = 0.25  # of a service time around its expected value
@@ -48,30 +48,44 @@
     distance: Distance,
     now: float,
     *,
+    noise: Noise,
     ahead: int = 0,
     cold: bool = False,
 ) -> Forecast:
     """Forecast an answer from one server, ``ahead`` others going first.
 
+    A report counts as far as it is believed; the rest is what servers are
+    like in general.
+
     >>> idle = ServerLoad(slots=4)
     >>> need = Need(objective_s=0.2, deadline_s=1, work_s=0.05)
-    >>> predict(idle, need, Distance(), now=0).wait_s
+    >>> predict(idle, need, Distance(), now=0, noise=Noise()).wait_s
     0.0
     """
+    work_s = need.work_s * (COLD_SLOWDOWN if cold else 1)
     busy = load.busy(now) + ahead
-    service_s = need.work_s * load.slowness(now)
-    if cold:
-        service_s *= COLD_SLOWDOWN
     if busy + 1 > FULL_SHARE * load.slots:
-        service_s *= FULL_SLOWDOWN
-    excess = busy - load.slots + 1
-    wait_s = max(0, excess) * service_s / load.slots
-    answer_s = wait_s + service_s + distance.round_trip_s
-    good = 1 - load.failing(now)
-    gained = good * worth_at(answer_s, service_s, need)
+        work_s *= FULL_SLOWDOWN
+    # A request that waits meets slots that are freed one after the other.
+    wait_s = max(0, busy - load.slots + 1) * work_s / load.slots
+    belief = load.belief(now)
+    doubt = 1 - belief
+    cases = (
+        (belief, load.slowness(now)),
+        (doubt * (1 - noise.share), 1.0),
+        (doubt * noise.share, noise.factor),
+    )
+    gained = 0.0
+    mean_s = 0.0
+    for chance, slowness in cases:
+        service_s = work_s * slowness
+        answer_s = wait_s * slowness + service_s + distance.round_trip_s
+        gained += chance * worth_at(answer_s, service_s, need)
+        mean_s += chance * answer_s
+    gained *= 1 - load.failing(now)
     gained -= distance.price_per_kb * need.kilobytes
-    gained -= LATENCY_WEIGHT * answer_s / need.objective_s
-    return Forecast(wait_s, answer_s, gained)
+    gained -= LATENCY_WEIGHT * mean_s / need.objective_s
+    return Forecast(wait_s, mean_s, gained)
 
 
 def worth_at(answer_s: float, service_s: float, need: Need) -> float:
