--- a/wagtailfork/core/settings.py
+++ b/wagtailfork/core/settings.py
@@ -95,7 +95,7 @@
     retries: RetryShare = attrs.field(factory=RetryShare)
     # Half of the least bound that users set on a planned stop, 6 s.
     stop_accepts_s: float = attrs.field(default=3.0, validator=_POSITIVE)
-    stop_limit_s: float = attrs.field(default=5.7, validator=_POSITIVE)
+    stop_limit_s: float = attrs.field(default=5.2, validator=_POSITIVE)
     directory_ttl_s: float = attrs.field(default=2.0, validator=_POSITIVE)
     # Servers are asked when a request is about to go there; this keeps those
     # that get few requests known to other domains.
--- a/wagtailfork/gateway/forwarder.py
+++ b/wagtailfork/gateway/forwarder.py
@@ -21,7 +21,8 @@
 from ..routing.quarantine import Quarantine
 from ..routing.routes import Route, WeightedTurns
 from ..routing.work_time import WorkTimes
-from ..routing.worth import FULL_SHARE, FULL_SLOWDOWN, worth_at
+from ..routing.load import FULL_SHARE
+from ..routing.worth import worth_at
 from .dialect import AnswerFacts, Dialect, RequestFacts
 from .roster import Roster
 from .view import View
@@ -270,7 +271,7 @@
         if candidate.must_look(now_s()):
             await self.roster.look(candidate)
         now = now_s()
-        choice = call.queue.choose(call.ticket, {}, now)
+        choice = call.queue.choose(call.ticket, now)
         if choice is None or not choice.free:
             return set()
         gain = choice.forecast.worth - self._worth_of_rest(call, candidate, now)
@@ -374,7 +375,8 @@
             waited_ms=(begun - req.arrived_s) * 1000,
             attempt=call.sends,
         )
-        slowness = _slowness(candidate, begun)
+        slowness = candidate.load.slowness(begun)
+        full = _is_full(candidate, begun)
         try:
             answer = await conn.exchange(
                 head,
@@ -395,10 +397,16 @@
         sent.reached = True
         self._judge(call, candidate, sent, answer)
         if sent.good and sent.answer is not None:
-            self.work.note(call.route.name, now_s() - begun, slowness)
+            self._learn(call, (now_s() - begun) / slowness, full=full)
             self.work.note_size(call.route.name, sent.answer.body.size)
         return sent
 
+    def _learn(self, call: _Call, usual_s: float, *, full: bool) -> None:
+        if full:
+            call.queue.full.note(usual_s / call.ticket.work_s)
+        else:
+            self.work.note(call.route.name, usual_s)
+
     def _accepts(self, call: _Call) -> Callable[[Answer], bool]:
         def belongs(answer: Answer) -> bool:
             facts = self.dialect.read_answer(answer)
@@ -577,12 +585,9 @@
     return results[0]
 
 
-def _slowness(candidate: Candidate, now: float) -> float:
+def _is_full(candidate: Candidate, now: float) -> bool:
     load = candidate.load
-    slowness = load.slowness(now)
-    if load.busy(now) > FULL_SHARE * load.slots:
-        return slowness * FULL_SLOWDOWN
-    return slowness
+    return load.busy(now) > FULL_SHARE * load.slots
 
 
 def _fault(answer: Answer, facts: AnswerFacts, call: _Call) -> str:
--- a/wagtailfork/routing/late_binding.py
+++ b/wagtailfork/routing/late_binding.py
@@ -13,10 +13,14 @@
 import attrs
 
 from ..core.clock import now_s
-from .load import Noise, ServerLoad
+from .load import FullCost, Noise, ServerLoad
 from .worth import Distance, Forecast, Need, predict
 
-HOPELESS: Final = 0.02  # expected worth below which waiting serves nobody
+GOOD_ENOUGH: Final = 0.85  # worth from which no farther server is looked at
+LATE_FACTOR: Final = 1.2  # expected service times that a request in time needs
+MOST_SCANNED: Final = 8  # waiting requests that one pass looks at
+MOST_COMPARED: Final = 16  # servers of one distance; a sample is as good
+NO_SERVER_RETRY_S: Final = 0.5
 MOST_WAITING: Final = 400  # tickets; bounds the time that one pass takes
 NEVER_S: Final = 3600.0
 # A twelfth of the time for which noise on shared VMs stays as it is, and so
@@ -77,6 +81,7 @@
     candidate: Candidate
     forecast: Forecast
     free: bool
+    worth: float
 
 
 class Refused(Exception):
@@ -104,6 +109,7 @@
     service: str
     look: Look = _trust
     noise: Noise = attrs.field(factory=Noise)
+    full: FullCost = attrs.field(factory=FullCost)
     servers: dict[str, Candidate] = attrs.field(factory=dict)
     wanted_at_s: float = -NEVER_S
     _waiting: list[Ticket] = attrs.field(factory=list)
@@ -129,25 +135,87 @@
                 candidate.load.end()
         return await self._place_once(ticket)
 
+    def pump(self) -> None:
+        """Bind the requests whose turn it is after something changed."""
+        if not self._waiting:
+            return
+        now = now_s()
+        self._refuse_hopeless(now)
+        if not self._any_free():
+            return
+        self._waiting.sort(key=lambda ticket: _turn(ticket, now))
+        bound = set()
+        for ticket in self._waiting[:MOST_SCANNED]:
+            if self._bind(ticket, now):
+                bound.add(id(ticket))
+                if not self._any_free():
+                    break
+        if bound:
+            self._waiting = [
+                ticket for ticket in self._waiting if id(ticket) not in bound
+            ]
+
+    def release(self, candidate: Candidate) -> None:
+        """Take one request off a server and bind the next one."""
+        candidate.load.end()
+        self.pump()
+
+    def limit(self, load: ServerLoad) -> int:
+        """Give the slots that are worth using at once."""
+        return self.full.limit(load.slots)
+
+    def choose(self, ticket: Ticket, now: float) -> Choice | None:
+        """Find the server where the request is worth most; None without any.
+
+        Farther servers are looked at only if nearer ones fall short.
+        """
+        need = ticket.need(now)
+        best: Choice | None = None
+        for tier in self._tiers(ticket, now):
+            for candidate in tier:
+                choice = self._forecast(candidate, ticket, need, now)
+                if best is None or choice.worth > best.worth:
+                    best = choice
+            if best is not None and best.free and best.worth > GOOD_ENOUGH:
+                return best
+        return best
+
+    def room_in_s(self, ticket: Ticket) -> float:
+        """Estimate the seconds until one more request gets a slot."""
+        slots = sum(
+            self.limit(candidate.load)
+            for candidate in self.servers.values()
+            if not candidate.draining
+        )
+        ahead = 1 + sum(1 for one in self._waiting if one.rank <= ticket.rank)
+        service_s = ticket.work_s * self.noise.mean()
+        return service_s * ahead / max(1, slots)
+
     async def _place_once(self, ticket: Ticket) -> Candidate:
         now = now_s()
         self.wanted_at_s = now
-        if not self._waiting:
-            choice = self.choose(ticket, {}, now)
-            _check_worth(choice, ticket, now)
-            if choice is not None and choice.free:
+        if now >= ticket.deadline_at_s:
+            raise Refused('deadline_passed', 0)
+        if not self.servers:
+            raise Refused('no_server', NO_SERVER_RETRY_S)
+        if not self._waiting or ticket.rank < self._waiting[0].rank:
+            choice = self.choose(ticket, now)
+            if choice is None:
+                raise Refused('no_server', NO_SERVER_RETRY_S)
+            if choice.free:
                 choice.candidate.load.begin()
                 return choice.candidate
+        wait_s = self.room_in_s(ticket)
+        if now + wait_s + ticket.work_s > ticket.deadline_at_s:
+            raise Refused('no_room', wait_s / 2)
         if len(self._waiting) >= MOST_WAITING:
-            raise Refused('queue_full', self.room_in_s(now))
+            raise Refused('queue_full', wait_s)
         return await self._wait(ticket)
 
     async def _wait(self, ticket: Ticket) -> Candidate:
         bound = asyncio.get_running_loop().create_future()
         ticket.bound = bound
         self._waiting.append(ticket)
-        self._waiting.sort(key=_turn)
-        self.pump()
         try:
             candidate: Candidate = await bound
         except asyncio.CancelledError:
@@ -155,114 +223,91 @@
             raise
         return candidate
 
-    def pump(self) -> None:
-        """Bind or refuse waiting requests after something changed."""
-        if not self._waiting:
-            return
-        now = now_s()
-        ahead: dict[str, int] = {}
+    def _bind(self, ticket: Ticket, now: float) -> bool:
+        """Bind one waiting request if the best server for it is free."""
+        bound = ticket.bound
+        if bound is None or bound.done():
+            return True
+        choice = self.choose(ticket, now)
+        if choice is None or not choice.free:
+            return False
+        choice.candidate.load.begin()
+        bound.set_result(choice.candidate)
+        return True
+
+    def _refuse_hopeless(self, now: float) -> None:
+        """Refuse at once what can no longer be answered before its deadline."""
         still = []
         for ticket in self._waiting:
             bound = ticket.bound
-            if bound is None or bound.done():
-                continue
-            try:
-                choice = self.choose(ticket, ahead, now)
-                _check_worth(choice, ticket, now)
-            except Refused as exc:
-                bound.set_exception(exc)
-                continue
-            if choice is None:
+            if ticket.deadline_at_s - now > ticket.work_s or bound is None:
                 still.append(ticket)
-                continue
-            if choice.free:
-                choice.candidate.load.begin()
-                bound.set_result(choice.candidate)
-                continue
-            name = choice.candidate.name
-            ahead[name] = ahead.get(name, 0) + 1
-            still.append(ticket)
+            elif not bound.done():
+                bound.set_exception(Refused('no_room', 0))
         self._waiting = still
 
-    def release(self, candidate: Candidate) -> None:
-        """Take one request off a server and bind the next one."""
-        candidate.load.end()
-        self.pump()
-
-    def choose(
-        self,
-        ticket: Ticket,
-        ahead: dict[str, int],
-        now: float,
-    ) -> Choice | None:
-        """Find the server where the request is worth most; None without any."""
-        usable = self._usable(ticket, now)
-        need = ticket.need(now)
-        best: Choice | None = None
-        best_worth = -NEVER_S
-        offset = random.randrange(len(usable)) if usable else 0  # noqa: S311
-        for candidate in usable[offset:] + usable[:offset]:
-            choice = self._forecast(candidate, need, ahead, now)
-            gained = choice.forecast.worth + _bonus(candidate, ticket, now)
-            if gained > best_worth:
-                best, best_worth = choice, gained
-        return best
-
-    def room_in_s(self, now: float) -> float:
-        """Estimate the seconds until a slot is free."""
-        waits = []
+    def _any_free(self) -> bool:
+        now = now_s()
         for candidate in self.servers.values():
-            if candidate.draining or now < candidate.load.out_until_s:
-                continue
-            excess = candidate.load.busy(now) - candidate.load.slots + 1
-            waits.append(max(0.02, 0.1 * excess / candidate.load.slots))
-        return min(waits, default=0.5) + 0.1 * len(self._waiting) / (
-            1 + len(waits)
-        )
+            load = candidate.load
+            if not candidate.draining and load.busy(now) < self.limit(load):
+                return True
+        return False
 
     def _forecast(
         self,
         candidate: Candidate,
+        ticket: Ticket,
         need: Need,
-        ahead: dict[str, int],
         now: float,
     ) -> Choice:
-        others = ahead.get(candidate.name, 0)
         load = candidate.load
+        limit = self.limit(load)
         forecast = predict(
             load,
             need,
             candidate.distance,
             now,
             noise=self.noise,
-            ahead=others,
+            limit=limit,
             cold=now < candidate.warm_at_s,
         )
-        return Choice(candidate, forecast, load.busy(now) + others < load.slots)
+        gained = forecast.worth + _bonus(candidate, ticket, now)
+        return Choice(candidate, forecast, load.busy(now) < limit, gained)
 
-    def _usable(self, ticket: Ticket, now: float) -> list[Candidate]:
-        usable = []
+    def _tiers(self, ticket: Ticket, now: float) -> list[list[Candidate]]:
+        tiers: dict[float, list[Candidate]] = {}
         spare = []
         for candidate in self.servers.values():
             if candidate.draining or candidate.name in ticket.excluded:
                 continue
-            spare.append(candidate)
-            if now >= candidate.load.out_until_s:
-                usable.append(candidate)
+            if now < candidate.load.out_until_s:
+                spare.append(candidate)
+                continue
+            trip_s = candidate.distance.round_trip_s
+            tiers.setdefault(trip_s, []).append(candidate)
         # With every server out, one that may be back is better than none.
-        return usable or spare
+        found = [tiers[trip_s] for trip_s in sorted(tiers)] or [spare]
+        return [_sample(tier) for tier in found]
 
     def _abandon(
         self, ticket: Ticket, bound: 'asyncio.Future[Candidate]'
     ) -> None:
         if ticket in self._waiting:
             self._waiting.remove(ticket)
-        if bound.done() and not bound.cancelled() and bound.exception() is None:
+        if bound.done() and not bound.cancelled() and not bound.exception():
             self.release(bound.result())
 
 
-def _turn(ticket: Ticket) -> tuple[int, float]:
-    return ticket.rank, ticket.arrived_s
+def _sample(tier: list[Candidate]) -> list[Candidate]:
+    """Take some of many servers, in random order so that equals share."""
+    return random.sample(tier, min(MOST_COMPARED, len(tier)))
+
+
+def _turn(ticket: Ticket, now: float) -> tuple[int, bool, float]:
+    """Order by urgency; those that are late anyway let others go first."""
+    late = ticket.objective_at_s - now < ticket.work_s * LATE_FACTOR
+    return ticket.rank, late, ticket.arrived_s
 
 
 def _bonus(candidate: Candidate, ticket: Ticket, now: float) -> float:
@@ -273,14 +318,3 @@
     if untried and ticket.rank and not candidate.load.failing(now):
         return TRY_NEW_BONUS
     return 0
-
-
-def _check_worth(choice: Choice | None, ticket: Ticket, now: float) -> None:
-    if now >= ticket.deadline_at_s:
-        raise Refused('deadline_passed', 0)
-    if choice is None:
-        raise Refused('no_server', 0.5)
-    if choice.forecast.wait_s == 0:
-        return
-    if choice.forecast.answer_s > ticket.deadline_at_s - now:
-        raise Refused('no_room', max(0.05, choice.forecast.wait_s / 2))
--- a/wagtailfork/routing/load.py
+++ b/wagtailfork/routing/load.py
@@ -10,6 +10,9 @@
 SLOW_FADES_S: Final = 0.15  # half the time for which noise stays as it is
 SLOW_FROM: Final = 1.5  # slowness from which a server counts as slow
 NOISE_GAIN: Final = 0.02  # weight of the newest report, of hundreds a second
+FULL_SHARE: Final = 0.8  # of the slots, beyond which servers turn slower
+FULL_GAIN: Final = 0.02
+FULL_MOST: Final = 4.0  # bounds what one straggler adds
 ERROR_GAIN: Final = 0.2  # weight of the newest outcome in the error share
 ERROR_HALF_LIFE_S: Final = 2.0
 OUT_FIRST_S: Final = 0.5
@@ -41,6 +44,10 @@
     share: float = 0.2
     factor: float = 3.0
 
+    def mean(self) -> float:
+        """Give the mean slowness."""
+        return 1 + self.share * (self.factor - 1)
+
     def note(self, slowness: float) -> None:
         """Add one report."""
         slow = slowness > SLOW_FROM
@@ -49,6 +56,28 @@
             self.factor += NOISE_GAIN * (slowness - self.factor)
 
 
+@attrs.define
+class FullCost:
+    """Learn how much slower a server of one service works with all slots busy.
+
+    Where that costs more than the last slots bring, they stay unused.
+
+    >>> FullCost().limit(4), FullCost().limit(2), FullCost(factor=1.1).limit(4)
+    (3, 2, 4)
+    """
+
+    factor: float = 1.6
+
+    def limit(self, slots: int) -> int:
+        """Give the number of slots that are worth using at once."""
+        some = int(FULL_SHARE * slots)
+        return some if some * self.factor > slots else slots
+
+    def note(self, ratio: float) -> None:
+        """Add a service time on a full server, as a ratio to the expected."""
+        self.factor += FULL_GAIN * (min(ratio, FULL_MOST) - self.factor)
+
+
 @attrs.define(eq=False)
 class ServerLoad:
     """Combine own sends, those of neighbours and reports for one server.
--- a/wagtailfork/routing/work_time.py
+++ b/wagtailfork/routing/work_time.py
@@ -16,7 +16,7 @@
     >>> times = WorkTimes()
     >>> round(times.expect('r', objective_s=0.2), 3)
     0.07
-    >>> times.note('r', service_s=0.2, slowness=2.0)
+    >>> times.note('r', usual_s=0.1)
     >>> times.expect('r', objective_s=0.2)
     0.1
     """
@@ -28,9 +28,9 @@
         """Give the expected service time in seconds."""
         return self._means.get(route, objective_s * FIRST_GUESS)
 
-    def note(self, route: str, service_s: float, slowness: float) -> None:
-        """Add one timed answer."""
-        cleared = max(SHORTEST_S, service_s / max(0.5, slowness))
+    def note(self, route: str, usual_s: float) -> None:
+        """Add one timed answer, cleared of its server's slowness."""
+        cleared = max(SHORTEST_S, usual_s)
         before = self._means.get(route)
         if before is None:
             self._means[route] = cleared
--- a/wagtailfork/routing/worth.py
+++ b/wagtailfork/routing/worth.py
@@ -5,13 +5,13 @@
 
 import attrs
 
-from .load import Noise, ServerLoad
+from .load import FULL_SHARE, Noise, ServerLoad
 
 LATE_WORTH: Final = 0.1  # of an answer in time; the users' sheets say so
 SPREAD: Final = 0.25  # of a service time around its expected value
-FULL_SHARE: Final = 0.8  # of the slots, beyond which servers turn slower
 FULL_SLOWDOWN: Final = 1.6
 LATENCY_WEIGHT: Final = 0.05  # worth of a whole objective saved: breaks ties
+NEGLIGIBLE: Final = 0.01  # chance of a case that is left out
 COLD_SLOWDOWN: Final = 2.0
 
 
@@ -49,25 +49,25 @@
     now: float,
     *,
     noise: Noise,
-    ahead: int = 0,
+    limit: int,
     cold: bool = False,
 ) -> Forecast:
-    """Forecast an answer from one server, ``ahead`` others going first.
+    """Forecast an answer from one server that takes ``limit`` at once.
 
     A report counts as far as it is believed; the rest is what servers are
     like in general.
 
     >>> idle = ServerLoad(slots=4)
     >>> need = Need(objective_s=0.2, deadline_s=1, work_s=0.05)
-    >>> predict(idle, need, Distance(), now=0, noise=Noise()).wait_s
+    >>> predict(idle, need, Distance(), now=0, noise=Noise(), limit=4).wait_s
     0.0
     """
     work_s = need.work_s * (COLD_SLOWDOWN if cold else 1)
-    busy = load.busy(now) + ahead
+    busy = load.busy(now)
     if busy + 1 > FULL_SHARE * load.slots:
         work_s *= FULL_SLOWDOWN
     # A request that waits meets slots that are freed one after the other.
-    wait_s = max(0, busy - load.slots + 1) * work_s / load.slots
+    wait_s = max(0, busy - limit + 1) * work_s / limit
     belief = load.belief(now)
     doubt = 1 - belief
     cases = (
@@ -78,6 +78,8 @@
     gained = 0.0
     mean_s = 0.0
     for chance, slowness in cases:
+        if chance < NEGLIGIBLE:
+            continue
         service_s = work_s * slowness
         answer_s = wait_s * slowness + service_s + distance.round_trip_s
         gained += chance * worth_at(answer_s, service_s, need)
