--- a/wagtailfork/gateway/fleet_link.py
+++ b/wagtailfork/gateway/fleet_link.py
@@ -102,6 +102,10 @@
         )
         told = [one.address for one in members.told_to(now)]
         self._datagrams.send(Heartbeat(members.rows(now)), told)
+        # What is under way is told again, as datagrams are lost.
+        for _, candidate in self.roster.candidates():
+            if candidate.load.own:
+                self.load_changed(candidate)
 
     def announce(self) -> None:
         """Tell all neighbours of a change at once."""
@@ -201,7 +205,7 @@
                 continue
             touched.add(self._take_row(message, row, candidate, now))
         for service in touched:
-            self.roster.queue(service).pump()
+            self.roster.queue(service).pump_soon()
         if message.relay:
             self._tell_neighbours(Loads(message.sender, False, message.rows))
 
@@ -220,7 +224,7 @@
         load = candidate.load
         server = self.roster.server(row.server)
         if self._is_neighbour(message.sender):
-            load.note_neighbour(message.sender, row.in_flight)
+            load.note_neighbour(message.sender, row.in_flight, now)
         report = read_report(row, now)
         if report is not None:
             load.note_report(report)
--- a/wagtailfork/gateway/forwarder.py
+++ b/wagtailfork/gateway/forwarder.py
@@ -307,7 +307,7 @@
             return 0
         service_s = rest_s * candidate.load.slowness(now)
         answer_s = service_s + candidate.distance.round_trip_s / 2
-        return worth_at(answer_s, service_s, need)
+        return worth_at(answer_s, need)
 
     # One send.
 
--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -289,7 +289,7 @@
         self.link.load_changed(candidate, silent=silent)
         server = self.roster.server(candidate.name)
         if server is not None:
-            self.roster.queue(server.service).pump()
+            self.roster.queue(server.service).pump_soon()
 
     def _strike(self, fingerprint: str, server: str) -> None:
         """Leave a request whose answer was lost unpunished for now."""
--- a/wagtailfork/gateway/roster.py
+++ b/wagtailfork/gateway/roster.py
@@ -12,6 +12,9 @@
 from .model import BackendServer
 
 SAME_DOMAIN: Final = Distance(round_trip_s=0.0005, price_per_kb=0)
+# Reports from other regions are old, and both sides sending each other
+# their overload only makes it longer.
+FAR_RELUCTANCE: Final = 0.25
 _PER_KB: Final = 1 / 1024
 
 
@@ -40,6 +43,7 @@
                 price_per_kb=self.near_price * _PER_KB,
             )
         return Distance(
+            reluctance=FAR_RELUCTANCE,
             round_trip_s=self.far_trip_s,
             price_per_kb=self.far_price * _PER_KB,
         )
--- a/wagtailfork/routing/late_binding.py
+++ b/wagtailfork/routing/late_binding.py
@@ -19,6 +19,7 @@
 GOOD_ENOUGH: Final = 0.85  # worth from which no farther server is looked at
 LATE_FACTOR: Final = 1.2  # expected service times that a request in time needs
 MOST_SCANNED: Final = 8  # waiting requests that one pass looks at
+PUMP_S: Final = 0.004  # short beside service times, joins bursts of news
 MOST_COMPARED: Final = 16  # servers of one distance; a sample is as good
 NO_SERVER_RETRY_S: Final = 0.5
 MOST_WAITING: Final = 400  # tickets; bounds the time that one pass takes
@@ -112,6 +113,7 @@
     full: FullCost = attrs.field(factory=FullCost)
     servers: dict[str, Candidate] = attrs.field(factory=dict)
     wanted_at_s: float = -NEVER_S
+    _pumping: asyncio.TimerHandle | None = None
     _waiting: list[Ticket] = attrs.field(factory=list)
 
     @property
@@ -135,6 +137,17 @@
                 candidate.load.end()
         return await self._place_once(ticket)
 
+    def pump_soon(self) -> None:
+        """Bind waiting requests shortly; joins what changes together."""
+        if not self._waiting or self._pumping is not None:
+            return
+        loop = asyncio.get_running_loop()
+        self._pumping = loop.call_later(PUMP_S, self._pump_now)
+
+    def _pump_now(self) -> None:
+        self._pumping = None
+        self.pump()
+
     def pump(self) -> None:
         """Bind the requests whose turn it is after something changed."""
         if not self._waiting:
@@ -158,11 +171,7 @@
     def release(self, candidate: Candidate) -> None:
         """Take one request off a server and bind the next one."""
         candidate.load.end()
-        self.pump()
-
-    def limit(self, load: ServerLoad) -> int:
-        """Give the slots that are worth using at once."""
-        return self.full.limit(load.slots)
+        self.pump_soon()
 
     def choose(self, ticket: Ticket, now: float) -> Choice | None:
         """Find the server where the request is worth most; None without any.
@@ -183,7 +192,7 @@
     def room_in_s(self, ticket: Ticket) -> float:
         """Estimate the seconds until one more request gets a slot."""
         slots = sum(
-            self.limit(candidate.load)
+            candidate.load.slots
             for candidate in self.servers.values()
             if not candidate.draining
         )
@@ -250,7 +259,7 @@
         now = now_s()
         for candidate in self.servers.values():
             load = candidate.load
-            if not candidate.draining and load.busy(now) < self.limit(load):
+            if not candidate.draining and load.busy(now) < load.slots:
                 return True
         return False
 
@@ -262,18 +271,17 @@
         now: float,
     ) -> Choice:
         load = candidate.load
-        limit = self.limit(load)
         forecast = predict(
             load,
             need,
             candidate.distance,
             now,
             noise=self.noise,
-            limit=limit,
+            full=self.full,
             cold=now < candidate.warm_at_s,
         )
         gained = forecast.worth + _bonus(candidate, ticket, now)
-        return Choice(candidate, forecast, load.busy(now) < limit, gained)
+        return Choice(candidate, forecast, load.busy(now) < load.slots, gained)
 
     def _tiers(self, ticket: Ticket, now: float) -> list[list[Candidate]]:
         tiers: dict[float, list[Candidate]] = {}
--- a/wagtailfork/routing/load.py
+++ b/wagtailfork/routing/load.py
@@ -7,6 +7,7 @@
 from ..core.clock import now_s
 
 REPORT_TRUSTED_S: Final = 0.4  # noise on shared VMs changes faster than this
+TOLD_TRUSTED_S: Final = 1.0  # five times the period at which counts are told
 SLOW_FADES_S: Final = 0.15  # half the time for which noise stays as it is
 SLOW_FROM: Final = 1.5  # slowness from which a server counts as slow
 NOISE_GAIN: Final = 0.02  # weight of the newest report, of hundreds a second
@@ -58,21 +59,10 @@
 
 @attrs.define
 class FullCost:
-    """Learn how much slower a server of one service works with all slots busy.
-
-    Where that costs more than the last slots bring, they stay unused.
-
-    >>> FullCost().limit(4), FullCost().limit(2), FullCost(factor=1.1).limit(4)
-    (3, 2, 4)
-    """
+    """Learn how much slower a server of one service works when nearly full."""
 
     factor: float = 1.6
 
-    def limit(self, slots: int) -> int:
-        """Give the number of slots that are worth using at once."""
-        some = int(FULL_SHARE * slots)
-        return some if some * self.factor > slots else slots
-
     def note(self, ratio: float) -> None:
         """Add a service time on a full server, as a ratio to the expected."""
         self.factor += FULL_GAIN * (min(ratio, FULL_MOST) - self.factor)
@@ -95,6 +85,7 @@
     slots: int
     own: int = 0
     neighbours: dict[str, int] = attrs.field(factory=dict)
+    told_at_s: float = 0
     report: LoadReport | None = None
     error_share: float = 0
     out_until_s: float = 0
@@ -114,8 +105,9 @@
         """Count a request that ended."""
         self.own -= 1
 
-    def note_neighbour(self, vm: str, in_flight: int) -> None:
+    def note_neighbour(self, vm: str, in_flight: int, now: float) -> None:
         """Take over how many requests another VM has at the server."""
+        self.told_at_s = now
         before = self.neighbours.get(vm, 0)
         self._begun_since_report += max(0, in_flight - before)
         if in_flight:
@@ -134,6 +126,9 @@
 
     def busy(self, now: float) -> int:
         """Estimate the requests at the server, running or queued there."""
+        if self.neighbours and now - self.told_at_s > TOLD_TRUSTED_S:
+            # A neighbour that died, or whose last word was lost.
+            self.neighbours.clear()
         known = self.own + sum(self.neighbours.values())
         report = self.report
         if report is None or now - report.at_s > REPORT_TRUSTED_S:
--- a/wagtailfork/routing/worth.py
+++ b/wagtailfork/routing/worth.py
@@ -1,15 +1,14 @@
 """What sending a request to a backend server is worth to its caller."""
 
-import math
 from typing import Final
 
 import attrs
 
-from .load import FULL_SHARE, Noise, ServerLoad
+from .load import FULL_SHARE, FullCost, Noise, ServerLoad
 
 LATE_WORTH: Final = 0.1  # of an answer in time; the users' sheets say so
-SPREAD: Final = 0.25  # of a service time around its expected value
-FULL_SLOWDOWN: Final = 1.6
+SPREAD: Final = 0.25  # of an answer time around its expected value
+LEAST_SPREAD_S: Final = 0.002
 LATENCY_WEIGHT: Final = 0.05  # worth of a whole objective saved: breaks ties
 NEGLIGIBLE: Final = 0.01  # chance of a case that is left out
 COLD_SLOWDOWN: Final = 2.0
@@ -27,10 +26,14 @@
 
 @attrs.frozen(kw_only=True)
 class Distance:
-    """Say how far a server is: round trip in seconds, price of a kilobyte."""
+    """Say how far a server is: round trip in seconds, price of a kilobyte.
+
+    ``reluctance`` is the worth that must be gained for going there at all.
+    """
 
     round_trip_s: float = 0.0005
     price_per_kb: float = 0.0
+    reluctance: float = 0.0
 
 
 @attrs.frozen
@@ -49,55 +52,64 @@
     now: float,
     *,
     noise: Noise,
-    limit: int,
+    full: FullCost,
     cold: bool = False,
 ) -> Forecast:
-    """Forecast an answer from one server that takes ``limit`` at once.
+    """Forecast an answer from one server.
 
     A report counts as far as it is believed; the rest is what servers are
     like in general.
 
     >>> idle = ServerLoad(slots=4)
     >>> need = Need(objective_s=0.2, deadline_s=1, work_s=0.05)
-    >>> predict(idle, need, Distance(), now=0, noise=Noise(), limit=4).wait_s
+    >>> predict(idle, need, Distance(), 0, noise=Noise(), full=FullCost()).wait_s
     0.0
     """
     work_s = need.work_s * (COLD_SLOWDOWN if cold else 1)
     busy = load.busy(now)
     if busy + 1 > FULL_SHARE * load.slots:
-        work_s *= FULL_SLOWDOWN
+        work_s *= full.factor
     # A request that waits meets slots that are freed one after the other.
-    wait_s = max(0, busy - limit + 1) * work_s / limit
+    wait_s = max(0, busy - load.slots + 1) * work_s / load.slots
+    usual_s = wait_s + work_s
     belief = load.belief(now)
     doubt = 1 - belief
-    cases = (
-        (belief, load.slowness(now)),
-        (doubt * (1 - noise.share), 1.0),
-        (doubt * noise.share, noise.factor),
-    )
+    slowness = load.slowness(now)
     gained = 0.0
-    mean_s = 0.0
-    for chance, slowness in cases:
-        if chance < NEGLIGIBLE:
-            continue
-        service_s = work_s * slowness
-        answer_s = wait_s * slowness + service_s + distance.round_trip_s
-        gained += chance * worth_at(answer_s, service_s, need)
-        mean_s += chance * answer_s
+    mean = belief * slowness + doubt * noise.mean()
+    if belief > NEGLIGIBLE:
+        gained += belief * _worth_of(usual_s * slowness, need, distance)
+    if doubt > NEGLIGIBLE:
+        usual = _worth_of(usual_s, need, distance)
+        slow = _worth_of(usual_s * noise.factor, need, distance)
+        gained += doubt * (usual + noise.share * (slow - usual))
+    answer_s = usual_s * mean + distance.round_trip_s
     gained *= 1 - load.failing(now)
-    gained -= distance.price_per_kb * need.kilobytes
-    gained -= LATENCY_WEIGHT * mean_s / need.objective_s
-    return Forecast(wait_s, mean_s, gained)
+    gained -= distance.price_per_kb * need.kilobytes + distance.reluctance
+    gained -= LATENCY_WEIGHT * answer_s / need.objective_s
+    return Forecast(wait_s, answer_s, gained)
 
 
-def worth_at(answer_s: float, service_s: float, need: Need) -> float:
-    """Give the expected worth of an answer forecast for ``answer_s``."""
-    spread = SPREAD * service_s + 0.002
+def worth_at(answer_s: float, need: Need) -> float:
+    """Give the expected worth of an answer forecast for ``answer_s``.
+
+    >>> need = Need(objective_s=0.2, deadline_s=1, work_s=0.05)
+    >>> worth_at(0.1, need), worth_at(0.5, need), worth_at(5, need)
+    (1.0, 0.1, 0.0)
+    """
+    spread = SPREAD * answer_s + LEAST_SPREAD_S
     in_time = _chance(need.objective_s - answer_s, spread)
+    if in_time == 1:
+        return 1.0
     at_all = _chance(need.deadline_s - answer_s, spread)
     return in_time + LATE_WORTH * max(0, at_all - in_time)
 
 
+def _worth_of(service_s: float, need: Need, distance: Distance) -> float:
+    return worth_at(service_s + distance.round_trip_s, need)
+
+
 def _chance(margin_s: float, spread_s: float) -> float:
-    scaled = max(-30.0, min(30.0, 1.7 * margin_s / spread_s))
-    return 1 / (1 + math.exp(-scaled))
+    """Give the chance of a margin: certain beyond two spreads."""
+    scaled = 0.5 + margin_s / (4 * spread_s)
+    return min(1.0, max(0.0, scaled))
