--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -279,8 +279,8 @@
             self._allowances[service] = found
         return found
 
-    async def _look(self, candidate: Candidate) -> None:
-        await self.prober.look(candidate)
+    async def _look(self, candidate: Candidate) -> bool:
+        return await self.prober.look(candidate)
 
     def _load_changed(self, candidate: Candidate) -> None:
         self.link.load_changed(candidate)
--- a/wagtailfork/gateway/prober.py
+++ b/wagtailfork/gateway/prober.py
@@ -25,7 +25,7 @@
 
 ANSWER_S: Final = 0.25  # a server that takes longer is taken as silent
 DEMAND_S: Final = 2.0  # a service without requests for so long is left alone
-LOOK_S: Final = 0.04  # beyond the trip; servers answer within 1 ms
+LOOK_S: Final = 0.02  # beyond the trip; servers answer within 1 ms
 SILENT_PROBES: Final = 2  # in a row, until a server is taken as silent
 SILENT_PERIODS: Final = 3  # a silent server is asked this much less often
 NO_LOAD_PERIODS: Final = 20  # a server without load figures, likewise
@@ -57,15 +57,19 @@
     _probed: dict[str, _Probed] = attrs.field(factory=dict)
     _tasks: set['asyncio.Task[None]'] = attrs.field(factory=set)
 
-    async def look(self, candidate: Candidate) -> None:
+    async def look(self, candidate: Candidate) -> bool:
         """Ask one server how busy it is, just before a request goes there.
 
-        A server that does not answer in time is taken out, so that no
-        request that may run only once is sent into silence.
+        Tells whether there is news. A new connection to a server that is
+        nearly full waits for a slot, so it is not opened just to ask.
         """
         server = self.roster.server(candidate.name)
         if server is None:
-            return
+            return True
+        load = candidate.load
+        nearly_full = load.busy(now_s()) >= load.slots - 1
+        if nearly_full and not self.pool.has_idle(candidate.address):
+            return False
         self.probes += 1
         limit_s = LOOK_S + 2 * candidate.distance.round_trip_s
         try:
@@ -73,8 +77,9 @@
                 told = await self._exchange(server, candidate)
         except (NothingSent, AnswerFailed, TimeoutError) as exc:
             self._note_silent(candidate, exc)
-            return
+            return True
         candidate.tells_load = told
+        return True
 
     async def run(self) -> None:
         """Ask for good."""
--- a/wagtailfork/http1/pool.py
+++ b/wagtailfork/http1/pool.py
@@ -36,6 +36,10 @@
             return conn
         return None
 
+    def has_idle(self, address: str) -> bool:
+        """Tell whether an idle connection is likely to be there."""
+        return bool(self._idle.get(address))
+
     async def acquire(
         self,
         address: str,
--- a/wagtailfork/routing/late_binding.py
+++ b/wagtailfork/routing/late_binding.py
@@ -17,7 +17,7 @@
 from .worth import Distance, Forecast, Need, predict
 
 GOOD_ENOUGH: Final = 0.85  # worth from which no farther server is looked at
-LATE_FACTOR: Final = 1.2  # expected service times that a request in time needs
+LATE_FACTOR: Final = 1.2  # margin on the service time of a full server
 MOST_SCANNED: Final = 8  # waiting requests that one pass looks at
 PUMP_S: Final = 0.004  # short beside service times, joins bursts of news
 MOST_COMPARED: Final = 16  # servers of one distance; a sample is as good
@@ -95,12 +95,13 @@
         self.retry_after_s = retry_after_s
 
 
-Look = Callable[[Candidate], Awaitable[None]]
+# Asks a server for its load; tells whether there is news to choose anew by.
+Look = Callable[[Candidate], Awaitable[bool]]
 
 
-async def _trust(candidate: 'Candidate') -> None:
+async def _trust(candidate: Candidate) -> bool:
     """Take a server's last report as it is."""
-    candidate.tells_load = False
+    return False
 
 
 @attrs.define(eq=False)
@@ -131,10 +132,14 @@
             candidate = await self._place_once(ticket)
             if not candidate.must_look(now_s()):
                 return candidate
+            kept = False
             try:
-                await self.look(candidate)
+                kept = not await self.look(candidate)
             finally:
-                candidate.load.end()
+                if not kept:
+                    candidate.load.end()
+            if kept:
+                return candidate
         return await self._place_once(ticket)
 
     def pump_soon(self) -> None:
@@ -156,7 +161,8 @@
         self._refuse_hopeless(now)
         if not self._any_free():
             return
-        self._waiting.sort(key=lambda ticket: _turn(ticket, now))
+        least = LATE_FACTOR * self.full.factor
+        self._waiting.sort(key=lambda ticket: _turn(ticket, now, least))
         bound = set()
         for ticket in self._waiting[:MOST_SCANNED]:
             if self._bind(ticket, now):
@@ -312,9 +318,16 @@
     return random.sample(tier, min(MOST_COMPARED, len(tier)))
 
 
-def _turn(ticket: Ticket, now: float) -> tuple[int, bool, float]:
-    """Order by urgency; those that are late anyway let others go first."""
-    late = ticket.objective_at_s - now < ticket.work_s * LATE_FACTOR
+def _turn(
+    ticket: Ticket,
+    now: float,
+    least: float,
+) -> tuple[int, bool, float]:
+    """Order by urgency; those that are late anyway let others go first.
+
+    ``least`` is the number of service times that an answer in time needs.
+    """
+    late = ticket.objective_at_s - now < ticket.work_s * least
     return ticket.rank, late, ticket.arrived_s
 
 
