--- a/wagtailfork/fleet/load_sharing.py
+++ b/wagtailfork/fleet/load_sharing.py
@@ -10,7 +10,7 @@
 from ..routing.load import LoadReport, ServerLoad
 from .messages import LoadRow, Loads
 
-BATCH_S: Final = 0.004  # short beside the times of requests, joins bursts
+BATCH_S: Final = 0.008  # short beside the times of requests, joins bursts
 ROWS: Final = 24  # rows of one datagram, which stays below 1,200 bytes
 _MS: Final = 1000
 
--- a/wagtailfork/gateway/fleet_link.py
+++ b/wagtailfork/gateway/fleet_link.py
@@ -199,11 +199,15 @@
     def _(self, message: Loads) -> None:
         now = now_s()
         touched = set()
+        neighbour = self._is_neighbour(message.sender, now)
         for row in message.rows:
             candidate = self.roster.candidate(row.server)
             if candidate is None:
                 continue
-            touched.add(self._take_row(message, row, candidate, now))
+            if neighbour:
+                load = candidate.load
+                load.note_neighbour(message.sender, row.in_flight, now)
+            touched.add(self._take_report(row, candidate, now))
         for service in touched:
             self.roster.queue(service).pump_soon()
         if message.relay:
@@ -214,17 +218,14 @@
         fingerprint = f'{message.fingerprint:08x}'
         self.quarantine.strike(fingerprint, message.server, now_s())
 
-    def _take_row(
+    def _take_report(
         self,
-        message: Loads,
         row: LoadRow,
         candidate: Candidate,
         now: float,
     ) -> str:
         load = candidate.load
         server = self.roster.server(row.server)
-        if self._is_neighbour(message.sender):
-            load.note_neighbour(message.sender, row.in_flight, now)
         report = read_report(row, now)
         if report is not None:
             load.note_report(report)
@@ -235,8 +236,8 @@
             load.bring_back()
         return server.service if server else ''
 
-    def _is_neighbour(self, address: str) -> bool:
-        neighbours = self.membership.neighbours(now_s())
+    def _is_neighbour(self, address: str, now: float) -> bool:
+        neighbours = self.membership.neighbours(now)
         return any(one.address == address for one in neighbours)
 
     # Snapshots.
--- a/wagtailfork/gateway/forwarder.py
+++ b/wagtailfork/gateway/forwarder.py
@@ -31,7 +31,7 @@
 CONNECT_S: Final = 0.4  # six round trips between regions
 MOST_TRIES: Final = 5  # servers tried while none has taken a byte
 # Expected service times after which a second copy is considered.
-HEDGE_CHECKS: Final = (0.35, 0.7, 1.1, 1.6, 2.5, 4, 6, 9, 14, 1000)
+HEDGE_CHECKS: Final = (0.35, 0.8, 1.4, 2.5, 5, 1000)
 HEDGE_SHARE: Final = 0.6  # of the retry allowance; the rest is for failures
 HEDGE_LEAST_GAIN: Final = 0.2  # of the answer's worth, for a second copy
 HEDGE_STEP_S: Final = 0.02  # how often a request not sent yet is looked at
@@ -266,7 +266,7 @@
         if not call.sends or candidate is None or call.sends > 1:
             return set()
         call.checks = min(call.checks + 1, len(HEDGE_CHECKS) - 1)
-        if call.route.max_attempts < 2:
+        if call.route.max_attempts < 2 or not self._may_hedge(call):
             return set()
         if candidate.must_look(now_s()):
             await self.roster.look(candidate)
@@ -292,6 +292,10 @@
         )
         return {asyncio.create_task(self._send_once(call))}
 
+    def _may_hedge(self, call: _Call) -> bool:
+        allowance = self.allowance(call.service)
+        return allowance.has(now_s(), self.vms(), share=HEDGE_SHARE)
+
     def _worth_of_rest(
         self,
         call: _Call,
@@ -391,6 +395,7 @@
             return sent
         except AnswerFailed as exc:
             conn.close()
+            self.pool.note_loss(conn)
             sent.reached = True
             self._note_lost(call, candidate, sent, str(exc))
             return sent
--- a/wagtailfork/http1/backend.py
+++ b/wagtailfork/http1/backend.py
@@ -32,6 +32,7 @@
         """Prepare an unconnected protocol."""
         self.used = 0
         self.idle_since = now_s()
+        self.idled_s = 0.0  # before the present request
         self.keep_alive_s: float | None = None
         self._transport: Any = None
         self._parser: Any = None
@@ -143,6 +144,7 @@
 
     def _begin(self, accept: Accept, *, head_only: bool) -> None:
         self.used += 1
+        self.idled_s = now_s() - self.idle_since
         self._accept = accept
         self._head_only = head_only
         self._until_close = False
--- a/wagtailfork/http1/pool.py
+++ b/wagtailfork/http1/pool.py
@@ -9,7 +9,8 @@
 
 DEFAULT_IDLE_S: Final = 4.0  # below the idle limit of common servers, 5 s
 KEEP_ALIVE_SHARE: Final = 0.7  # of the server's limit, so no send races it
-ONCE_IDLE_S: Final = 1.0  # a lost send of these costs more than a new one
+ONCE_IDLE_S: Final = 4.0  # at first; shortened where idle ones are forgotten
+ONCE_IDLE_LEAST_S: Final = 0.25  # about what a busy VM leaves between requests
 MAX_IDLE: Final = 8  # connections kept to one address
 
 
@@ -18,6 +19,7 @@
     """Keep idle connections by address and retire them early."""
 
     opened: int = 0
+    once_idle_s: float = ONCE_IDLE_S
     _idle: dict[str, list[BackendConnection]] = attrs.field(factory=dict)
 
     def take_idle(
@@ -30,7 +32,7 @@
             if not conn.fit or _expired(conn, DEFAULT_IDLE_S):
                 conn.close()
                 continue
-            if once and now_s() - conn.idle_since > ONCE_IDLE_S:
+            if once and now_s() - conn.idle_since > self.once_idle_s:
                 idle.append(conn)
                 return None
             return conn
@@ -63,6 +65,16 @@
         else:
             conn.close()
 
+    def note_loss(self, conn: BackendConnection) -> None:
+        """Learn from a connection that was lost as it was used again.
+
+        A server may forget idle connections sooner than it says; a request
+        that may run only once must not find that out.
+        """
+        if conn.idled_s > ONCE_IDLE_LEAST_S:
+            shorter = max(ONCE_IDLE_LEAST_S, conn.idled_s / 2)
+            self.once_idle_s = min(self.once_idle_s, shorter)
+
     def drop(self, address: str) -> None:
         """Close all idle connections to an address."""
         for conn in self._idle.pop(address, []):
--- a/wagtailfork/routing/allowance.py
+++ b/wagtailfork/routing/allowance.py
@@ -30,19 +30,19 @@
         """Count one request of a caller."""
         self._earned.append(now)
 
-    def spend(self, now: float, vms: int, *, share: float = 1.0) -> bool:
-        """Take one retry if this ``share`` of the allowance still has it."""
+    def has(self, now: float, vms: int, *, share: float = 1.0) -> bool:
+        """Tell whether this ``share`` of the allowance has a retry left."""
         self._forget(now)
         most = self.ratio * len(self._earned) + self.slack / max(1, vms)
-        if len(self._spent) + 1 > share * most:
+        return len(self._spent) + 1 <= share * most
+
+    def spend(self, now: float, vms: int, *, share: float = 1.0) -> bool:
+        """Take one retry if this ``share`` of the allowance still has it."""
+        if not self.has(now, vms, share=share):
             return False
         self._spent.append(now)
         return True
 
-    def charge(self, now: float) -> None:
-        """Count a retry that cannot be held back any more."""
-        self._spent.append(now)
-
     def _forget(self, now: float) -> None:
         for times in (self._earned, self._spent):
             while times and now - times[0] > self.window_s:
--- a/wagtailfork/routing/late_binding.py
+++ b/wagtailfork/routing/late_binding.py
@@ -20,7 +20,7 @@
 LATE_FACTOR: Final = 1.2  # margin on the service time of a full server
 MOST_SCANNED: Final = 8  # waiting requests that one pass looks at
 PUMP_S: Final = 0.004  # short beside service times, joins bursts of news
-MOST_COMPARED: Final = 16  # servers of one distance; a sample is as good
+MOST_COMPARED: Final = 8  # servers of one distance; a sample is as good
 NO_SERVER_RETRY_S: Final = 0.5
 MOST_WAITING: Final = 400  # tickets; bounds the time that one pass takes
 NEVER_S: Final = 3600.0
@@ -302,7 +302,7 @@
             tiers.setdefault(trip_s, []).append(candidate)
         # With every server out, one that may be back is better than none.
         found = [tiers[trip_s] for trip_s in sorted(tiers)] or [spare]
-        return [_sample(tier) for tier in found]
+        return [_sample(tier, now) for tier in found]
 
     def _abandon(
         self, ticket: Ticket, bound: 'asyncio.Future[Candidate]'
@@ -313,8 +313,14 @@
             self.release(bound.result())
 
 
-def _sample(tier: list[Candidate]) -> list[Candidate]:
-    """Take some of many servers, in random order so that equals share."""
+def _sample(tier: list[Candidate], now: float) -> list[Candidate]:
+    """Take some of many servers, in random order so that equals share.
+
+    Those with a free slot go first; full ones only tell how long a wait is.
+    """
+    if len(tier) > MOST_COMPARED:
+        free = [one for one in tier if one.load.busy(now) < one.load.slots]
+        tier = free or tier
     return random.sample(tier, min(MOST_COMPARED, len(tier)))
 
 
--- a/wagtailfork/routing/load.py
+++ b/wagtailfork/routing/load.py
@@ -126,20 +126,22 @@
 
     def busy(self, now: float) -> int:
         """Estimate the requests at the server, running or queued there."""
-        if self.neighbours and now - self.told_at_s > TOLD_TRUSTED_S:
-            # A neighbour that died, or whose last word was lost.
-            self.neighbours.clear()
-        known = self.own + sum(self.neighbours.values())
+        known = self.own
+        if self.neighbours:
+            if now - self.told_at_s > TOLD_TRUSTED_S:
+                # A neighbour that died, or whose last word was lost.
+                self.neighbours.clear()
+            known += sum(self.neighbours.values())
         report = self.report
         if report is None or now - report.at_s > REPORT_TRUSTED_S:
             return known
-        told = report.running + report.waiting + self._begun_since_report
-        # Since the report some may have ended; what is known still runs.
-        ended = (now - report.at_s) / REPORT_TRUSTED_S
-        faded = report.running + report.waiting - known
-        if faded <= 0:
+        reported = report.running + report.waiting
+        if reported <= known:
             return known
-        return max(known, min(told, known + round(faded * (1 - ended))))
+        # Others' requests end after a while; what is known still runs.
+        left = 1 - (now - report.at_s) / REPORT_TRUSTED_S
+        told = reported + self._begun_since_report
+        return min(told, known + round((reported - known) * left))
 
     def slowness(self, now: float) -> float:
         """Give the slowness last told, 1 without a report."""
--- a/wagtailfork/routing/worth.py
+++ b/wagtailfork/routing/worth.py
@@ -112,4 +112,6 @@
 def _chance(margin_s: float, spread_s: float) -> float:
     """Give the chance of a margin: certain beyond two spreads."""
     scaled = 0.5 + margin_s / (4 * spread_s)
-    return min(1.0, max(0.0, scaled))
+    if scaled >= 1:
+        return 1.0
+    return max(scaled, 0.0)
