--- a/wagtailfork/fleet/members.py
+++ b/wagtailfork/fleet/members.py
@@ -14,6 +14,11 @@
 )
 FORGET_S: Final = 900.0  # a VM that stays silent this long is dropped
 FAN_OUT: Final = 6  # neighbours told at each heartbeat
+# Heartbeats from all VMs of a domain together to another domain, for each
+# heartbeat of one VM: two a second to near ones, one to far ones.
+NEAR_CHANCE: Final = 0.4
+FAR_CHANCE: Final = 0.2
+RETRY_CHANCE: Final = 0.2  # of a heartbeat to a VM that is silent
 ROWS: Final = 24  # members that one heartbeat carries; fits one datagram
 
 
@@ -76,10 +81,8 @@
         """Take over what is news; give the members that were not alive."""
         joined = []
         for member in members:
-            if member.address == self.me.address:
-                continue
             known = self._table.get(member.address)
-            if known is not None and not member.newer_than(known.member):
+            if not self._is_news(member, known):
                 continue
             if known is None or not self._answers(known, now):
                 joined.append(member)
@@ -109,6 +112,15 @@
             found.append(self.me)
         return found
 
+    def other_domains(self, now: float) -> dict[str, list[str]]:
+        """Give the addresses of living VMs by each other failure domain."""
+        found: dict[str, list[str]] = {}
+        for member in self.alive(now):
+            if member.failure_domain == self.me.failure_domain:
+                continue
+            found.setdefault(member.failure_domain, []).append(member.address)
+        return found
+
     def count(self, now: float) -> int:
         """Count the living VMs, this one included."""
         return len(self.alive(now)) + 1
@@ -142,25 +154,34 @@
             others = random.sample(others, ROWS)
         return [self.me, *others]
 
+    def _is_news(self, member: Member, known: _Heard | None) -> bool:
+        if member.address == self.me.address:
+            return False
+        return known is None or member.newer_than(known.member)
+
     def _distant(self, now: float, group: int) -> list[Member]:
-        # Together the VMs of a domain speak to each other domain five times
-        # in a second for near ones, about once for far ones.
+        """Choose some VMs of other domains, and one that is silent."""
         chosen = []
-        by_domain: dict[str, list[Member]] = {}
-        for member in self.alive(now):
-            by_domain.setdefault(member.failure_domain, []).append(member)
-        for domain, members in by_domain.items():
-            if domain == self.me.failure_domain:
-                continue
-            near = members[0].region == self.me.region
-            chance = (0.4 if near else 0.2) / group
-            if random.random() < chance:  # noqa: S311
-                chosen.append(random.choice(members))  # noqa: S311
+        for member in self._one_of_each_domain(now):
+            near = member.region == self.me.region
+            chance = NEAR_CHANCE if near else FAR_CHANCE
+            if random.random() < chance / group:  # noqa: S311
+                chosen.append(member)
         quiet = self.silent(now)
-        if quiet and random.random() < max(HEARTBEAT_S, 1 / group):  # noqa: S311
+        if quiet and random.random() < RETRY_CHANCE:  # noqa: S311
             chosen.append(random.choice(quiet))  # noqa: S311
         return chosen
 
+    def _one_of_each_domain(self, now: float) -> list[Member]:
+        by_domain: dict[str, Member] = {}
+        alive = self.alive(now)
+        random.shuffle(alive)
+        for member in alive:
+            if member.failure_domain != self.me.failure_domain:
+                by_domain[member.failure_domain] = member
+        return list(by_domain.values())
+
     def _answers(self, heard: _Heard, now: float) -> bool:
         near = heard.member.failure_domain == self.me.failure_domain
-        return now - heard.at_s <= (DOWN_S if near else FAR_DOWN_S)
+        limit_s = DOWN_S if near else FAR_DOWN_S
+        return now - heard.at_s <= limit_s
--- a/wagtailfork/fleet/snapshots.py
+++ b/wagtailfork/fleet/snapshots.py
@@ -10,7 +10,7 @@
 from ..core.results import ResultCode
 from ..http1.answers import AnswerFailed, NothingSent
 from ..http1.backend import connect
-from ..http1.caller import CallerRequest
+from ..http1.request import CallerRequest
 from ..http1.headers import render_head
 
 _PATH: Final = '/snapshot'
--- /dev/null
+++ b/wagtailfork/gateway/call.py
@@ -0,0 +1,81 @@
+"""One request of a caller on its way, and how its sends ended."""
+
+import zlib
+from typing import Final
+
+import attrs
+
+from ..core.clock import now_s
+from ..http1.answers import Answer
+from ..http1.backend import BackendConnection
+from ..http1.request import CallerRequest
+from ..routing.late_binding import Candidate, Refused, ServiceQueue, Ticket
+from ..routing.routes import Route
+from .dialect import AnswerFacts, RequestFacts
+
+_SERVER_ERROR: Final = 500
+
+
+@attrs.define(eq=False)
+class Sent:
+    """Hold how one send of a request ended."""
+
+    server: str = ''
+    answer: Answer | None = None
+    facts: AnswerFacts | None = None
+    may_have_run: bool = False
+    reason: str = ''
+    refused: Refused | None = None
+    reached: bool = False  # the server got the request, run or not
+    conn: BackendConnection | None = None  # on which the answer still comes
+
+    @property
+    def good(self) -> bool:
+        """Tell whether the answer can go to the caller as it is."""
+        return self.answer is not None and self.answer.status < _SERVER_ERROR
+
+
+@attrs.define(eq=False)
+class Call:
+    """Hold a request, its route and what was done for it."""
+
+    req: CallerRequest
+    facts: RequestFacts
+    route: Route
+    service: str
+    queue: ServiceQueue
+    ticket: Ticket
+    deadline_at_s: float
+    fingerprint: str = ''
+    sends: int = 0
+    tries: int = 0
+    sent_at_s: float = 0
+    checks: int = 0
+    candidate: Candidate | None = None
+    may_have_run: bool = False
+
+    def left_s(self) -> float:
+        """Give the seconds until the deadline."""
+        return self.deadline_at_s - now_s()
+
+
+@attrs.define(eq=False)
+class Counters:
+    """Count what became of requests."""
+
+    answered: int = 0
+    refused: int = 0
+    failed: int = 0
+    retries: int = 0
+    hedges: int = 0
+    left: int = 0
+
+
+def fingerprint_of(req: CallerRequest) -> str:
+    """Name a request by its method, host, target and body."""
+    host = req.find(b'host') or b''
+    parts = (req.method, host, req.target)
+    digest = zlib.crc32(b' '.join(parts))
+    if req.body.complete and req.body.replayable:
+        digest = zlib.crc32(req.body.whole(), digest)
+    return f'{digest:08x}'
--- a/wagtailfork/gateway/dialect.py
+++ b/wagtailfork/gateway/dialect.py
@@ -5,7 +5,7 @@
 import attrs
 
 from ..http1.answers import Answer
-from ..http1.caller import CallerRequest
+from ..http1.request import CallerRequest
 from ..http1.headers import Header
 from ..routing.load import LoadReport
 
--- /dev/null
+++ b/wagtailfork/gateway/endings.py
@@ -0,0 +1,129 @@
+"""The answers with which requests of callers end."""
+
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from ..core.clock import now_s
+from ..core.event_log import EventLog
+from ..core.results import ResultCode, http_status
+from ..http1.answers import Answer
+from ..http1.body import BodyBroken
+from ..http1.request import CallerRequest
+from .call import Call, Counters, Sent
+from .dialect import Dialect, RequestFacts
+
+SHED_RETRY_S: Final = 0.1  # about what a slot takes to be freed
+
+
+@attrs.define(eq=False, kw_only=True)
+class Endings:
+    """Deliver answers, and give those of our own."""
+
+    dialect: Dialect
+    log: EventLog
+    version: Callable[[], int]
+    counters: Counters
+
+    async def finish(self, call: Call, sent: Sent) -> None:
+        """Answer a caller from how its last send ended."""
+        if sent.answer is not None:
+            await self._deliver(call, sent.answer, sent)
+            return
+        if call.may_have_run:
+            self._fail(call, ResultCode.connection_lost, sent.reason)
+            return
+        retry_s = sent.refused.retry_after_s if sent.refused else SHED_RETRY_S
+        code = ResultCode.overloaded
+        if sent.reason == 'no_server':
+            code = ResultCode.no_backend
+        self.refuse(call.req, call.facts, code, retry_s, sent.reason)
+
+    async def _deliver(self, call: Call, answer: Answer, sent: Sent) -> None:
+        headers = self.dialect.answer_headers(answer)
+        self.counters.answered += 1
+        self.log.emit(
+            'answered',
+            id=call.facts.request_id,
+            route=call.route.name,
+            server=sent.server,
+            status=answer.status,
+            ms=(now_s() - call.req.arrived_s) * 1000,
+            sends=call.sends,
+        )
+        if answer.body.complete and answer.body.replayable:
+            call.req.answer(answer.status, headers, answer.body.whole())
+            return
+        try:
+            await call.req.stream_answer(answer.status, headers, answer.body)
+        except BodyBroken as exc:
+            self._break_off(call, str(exc))
+        finally:
+            if sent.conn is not None:
+                # A long answer's connection is not worth its bookkeeping.
+                sent.conn.close()
+
+    def _break_off(self, call: Call, why: str) -> None:
+        self.counters.failed += 1
+        self.log.emit(
+            'broken_off',
+            important=True,
+            id=call.facts.request_id,
+            why=why,
+        )
+        call.req.break_off()
+
+    def answer_late(self, call: Call) -> None:
+        """Answer a caller whose deadline has come."""
+        if call.req.answered:
+            self._break_off(call, 'deadline passed within the answer')
+            return
+        if call.may_have_run or call.sends:
+            self._fail(call, ResultCode.backend_silent, 'deadline_passed')
+            return
+        self.refuse(
+            call.req,
+            call.facts,
+            ResultCode.overloaded,
+            None,
+            'deadline_passed',
+        )
+
+    def _fail(self, call: Call, code: ResultCode, reason: str) -> None:
+        self.counters.failed += 1
+        self.log.emit(
+            'failed',
+            important=True,
+            id=call.facts.request_id,
+            route=call.route.name,
+            code=int(code),
+            why=reason,
+            ms=(now_s() - call.req.arrived_s) * 1000,
+            sends=call.sends,
+        )
+        headers = self.dialect.refusal_headers(int(code), None)
+        call.req.answer(http_status(code), headers)
+
+    def refuse(
+        self,
+        req: CallerRequest,
+        facts: RequestFacts,
+        code: ResultCode,
+        retry_after_s: float | None,
+        reason: str = '',
+    ) -> None:
+        """Say that a request has not run and never will."""
+        self.counters.refused += 1
+        self.log.emit(
+            'refused',
+            important=True,
+            id=facts.request_id,
+            code=int(code),
+            why=reason or code.name,
+            config=self.version(),
+            retry_after_s=retry_after_s,
+            ms=(now_s() - req.arrived_s) * 1000,
+        )
+        headers = self.dialect.refusal_headers(int(code), retry_after_s)
+        req.answer(http_status(code), headers)
--- a/wagtailfork/gateway/fleet_link.py
+++ b/wagtailfork/gateway/fleet_link.py
@@ -13,47 +13,35 @@
 from ..core.errors import WagtailforkError
 from ..core.logs import log_event, log_fault
 from ..fleet.datagrams import Datagrams
-from ..fleet.load_sharing import ROWS, LoadSharing, read_report, render_row
-from ..fleet.members import HEARTBEAT_S, Member, Membership, rendezvous
+from ..fleet.load_sharing import LoadSharing, read_report
+from ..fleet.members import HEARTBEAT_S, Member, Membership
 from ..fleet.messages import Heartbeat, LoadRow, Loads, Strike
 from ..fleet.snapshots import fetch_snapshot
 from ..http1.pool import ConnectionPool
 from ..routing.late_binding import Candidate
 from ..routing.quarantine import Quarantine
-from .roster import Geography, Roster
+from .roster import Roster
 from .view import Snapshot, View
 
-NEAR_DIGEST_S: Final = 0.25  # reports to the region's other domains
-TAKE_OVER_S: Final = 0.6  # time for the first VM to be heard reading
-GREETINGS_S: Final = 0.7  # in which a VM that starts hears of the others
-FAR_DIGEST_S: Final = 1.0  # reports to other regions, whose trips take 60 ms
-_READER_KEY: Final = 'store-reader'
-_SPEAKER_KEY: Final = 'speaker'
 
+_HEX: Final = 16
 _logger = logging.getLogger(__name__)
 
 
-def _after_greetings() -> float:
-    return now_s() + GREETINGS_S
-
-
 @attrs.define(eq=False, kw_only=True)
 class FleetLink:
-    """Take part in the fleet."""
+    """Send and receive heartbeats and loads; fetch what others know."""
 
     membership: Membership
     view: View
     roster: Roster
-    geography: Geography
     pool: ConnectionPool
     quarantine: Quarantine
     is_ready: Callable[[], bool]
     is_reading: Callable[[], bool]
-    reads_from_s: float = attrs.field(factory=_after_greetings)
     _datagrams: Datagrams = attrs.field(init=False)
     _sharing: LoadSharing = attrs.field(init=False)
     _fetching: bool = False
-    _unread_since: float | None = None
     _tasks: set['asyncio.Task[Any]'] = attrs.field(factory=set)
 
     def __attrs_post_init__(self) -> None:
@@ -81,15 +69,6 @@
             self.beat()
             await asyncio.sleep(HEARTBEAT_S)
 
-    async def run_digests(self) -> None:
-        """Tell other domains of this one's servers for good."""
-        rounds = round(FAR_DIGEST_S / NEAR_DIGEST_S)
-        turn = 0
-        while True:
-            await asyncio.sleep(NEAR_DIGEST_S)
-            turn += 1
-            self._send_digest(far=turn % rounds == 0)
-
     def beat(self) -> None:
         """Say something new to some, and to all neighbours if it is urgent."""
         now = now_s()
@@ -114,20 +93,17 @@
         told = [one.address for one in self.membership.neighbours(now)]
         self._datagrams.send(Heartbeat([self.membership.me]), told)
 
+    def send(self, message: Loads, addresses: list[str]) -> None:
+        """Send loads to some VMs."""
+        self._datagrams.send(message, addresses)
+
     def announce_far(self) -> None:
         """Tell two VMs of each other domain of a change.
 
         Each domain has a reader of its own; this covers one that is cut off.
         """
         now = now_s()
-        own = self.membership.me.failure_domain
-        by_domain: dict[str, list[str]] = {}
-        for member in self.membership.alive(now):
-            if member.failure_domain != own:
-                by_domain.setdefault(member.failure_domain, []).append(
-                    member.address,
-                )
-        for addresses in by_domain.values():
+        for addresses in self.membership.other_domains(now).values():
             chosen = random.sample(addresses, min(2, len(addresses)))
             self._datagrams.send(Heartbeat([self.membership.me]), chosen)
 
@@ -138,25 +114,6 @@
         told = [one.address for one in members if one.address != me]
         self._datagrams.send(Heartbeat([self.membership.me]), told)
 
-    def should_read(self) -> bool:
-        """Tell whether this VM follows the store for its domain.
-
-        The VM with the highest hash does; the others do so as well as long
-        as no neighbour is heard to follow it with success.
-        """
-        now = now_s()
-        if now < self.reads_from_s:
-            return False
-        neighbours = self.membership.neighbours(now)
-        others = [one for one in neighbours if one.reading]
-        if not others:
-            return self._is_first(neighbours) or self._overdue(now)
-        self._unread_since = None
-        ranked = [one.address for one in others]
-        ranked.append(self.membership.me.address)
-        mine = rendezvous(_READER_KEY, ranked) == self.membership.me.address
-        return mine and self.is_reading()
-
     def load_changed(
         self, candidate: Candidate, *, silent: bool = False
     ) -> None:
@@ -165,22 +122,10 @@
 
     def tell_strike(self, fingerprint: str, server: str) -> None:
         """Tell all VMs that a request crashed a server."""
-        message = Strike(int(fingerprint, 16), server)
+        message = Strike(int(fingerprint, _HEX), server)
         told = [one.address for one in self.membership.alive(now_s())]
         self._datagrams.send(message, told)
 
-    # Reading the store for the domain.
-
-    def _is_first(self, neighbours: list[Member]) -> bool:
-        ranked = [one.address for one in neighbours]
-        ranked.append(self.membership.me.address)
-        return rendezvous(_READER_KEY, ranked) == self.membership.me.address
-
-    def _overdue(self, now: float) -> bool:
-        if self._unread_since is None:
-            self._unread_since = now
-        return now - self._unread_since > TAKE_OVER_S
-
     # What others say.
 
     @singledispatchmethod
@@ -282,43 +227,3 @@
         now = now_s()
         told = [one.address for one in self.membership.neighbours(now)]
         self._datagrams.send(message, told)
-
-    def _send_digest(self, *, far: bool) -> None:
-        now = now_s()
-        own = self.membership.me.failure_domain
-        here = [one.address for one in self.membership.in_domain(own, now)]
-        if rendezvous(_SPEAKER_KEY, here) != self.membership.me.address:
-            return
-        rows = self._digest_rows(own, now)
-        told = self._speakers(now, far=far)
-        for start in range(0, len(rows), ROWS):
-            part = rows[start : start + ROWS]
-            message = Loads(self.membership.me.address, True, part)
-            self._datagrams.send(message, told)
-
-    def _digest_rows(self, domain: str, now: float) -> list[LoadRow]:
-        rows = []
-        for server, candidate in self.roster.candidates():
-            report = candidate.load.report
-            if server.failure_domain != domain or report is None:
-                continue
-            if now - report.at_s < FAR_DIGEST_S:
-                rows.append(render_row(server.name, candidate.load, now))
-        return rows
-
-    def _speakers(self, now: float, *, far: bool) -> list[str]:
-        by_domain: dict[str, list[str]] = {}
-        for member in self.membership.alive(now):
-            by_domain.setdefault(member.failure_domain, []).append(
-                member.address
-            )
-        told = []
-        for domain, addresses in by_domain.items():
-            if domain == self.membership.me.failure_domain:
-                continue
-            if not far and not self.geography.is_near(domain):
-                continue
-            speaker = rendezvous(_SPEAKER_KEY, addresses)
-            if speaker is not None:
-                told.append(speaker)
-        return told
--- /dev/null
+++ b/wagtailfork/gateway/leaving.py
@@ -0,0 +1,46 @@
+"""A planned stop: be named no longer, finish what is under way, go."""
+
+import asyncio
+import logging
+from typing import Final, Protocol
+
+from ..core.clock import now_s
+from ..core.logs import log_event
+from ..core.settings import GatewaySettings
+from ..http1.server import CallerServer
+from .fleet_link import FleetLink
+
+STEP_S: Final = 0.05  # between looks at what is under way
+
+_logger = logging.getLogger(__name__)
+
+
+class Leaver(Protocol):
+    """Name what a planned stop needs of a node."""
+
+    cfg: GatewaySettings
+    leaving: bool
+    callers: CallerServer
+    link: FleetLink
+
+
+async def leave(node: Leaver) -> None:
+    """Leave within the limit of the settings.
+
+    New connections are taken for as long as callers may still hold this
+    VM's address; each answer tells its caller to go elsewhere.
+    """
+    begun = now_s()
+    node.leaving = True
+    node.callers.leaving = True
+    log_event(_logger, 'leaving', vm=node.cfg.vm, busy=node.callers.busy())
+    node.link.announce()
+    node.link.announce_far()
+    await asyncio.sleep(node.cfg.stop_accepts_s)
+    node.callers.stop_listening()
+    while now_s() - begun < node.cfg.stop_limit_s:
+        node.callers.close_idle()
+        if not node.callers.busy():
+            break
+        await asyncio.sleep(STEP_S)
+    node.link.close()
--- a/wagtailfork/gateway/model.py
+++ b/wagtailfork/gateway/model.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ..http1.caller import Limits
+from ..http1.request import Limits
 from ..routing.routes import Route, RouteTable, ServiceRule
 
 
--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -3,94 +3,45 @@
 import asyncio
 import logging
 import time
-from collections.abc import Callable
-from typing import Final, Protocol
-
-import attrs
+from typing import Final
 
 from ..core.address import split_address
 from ..core.clock import now_s
-from ..core.errors import WagtailforkError
 from ..core.event_log import EventLog
-from ..core.logs import log_event, log_fault
+from ..core.logs import log_event
 from ..core.settings import GatewaySettings
 from ..core.supervisor import Supervisor
 from ..fleet.addresses import choose_addresses
 from ..fleet.members import Member, Membership
 from ..fleet.snapshots import answer_snapshot, read_query
-from ..http1.caller import CallerRequest, CallerServer, Limits
 from ..http1.pool import ConnectionPool
-from ..routing.allowance import RetryAllowance
+from ..http1.request import CallerRequest, Limits
+from ..http1.server import CallerServer
+from ..routing.allowance import Allowances
 from ..routing.late_binding import Candidate
-from .dialect import Dialect
+from .adapter import Adapter
+from .call import Counters
+from .digests import Digests
+from .discovery import Discovery
+from .endings import Endings
 from .fleet_link import FleetLink
 from .forwarder import Forwarder
+from .leaving import leave
 from .prober import Prober
 from .roster import Geography, Roster
-from .view import DecodeConfiguration, DecodeServer, View
+from .second_copy import SecondCopies
+from .sending import Sender
+from .store_reader import StoreReader
+from .view import View
 
 SWEEP_S: Final = 1.0
 FLUSH_S: Final = 0.1
 NEWS_S: Final = 0.02  # changes that come together are told together
 FAR_NEWS_S: Final = 0.3  # time for other domains to learn a change themselves
-FIRST_LIST_S: Final = 0.5  # VMs that start together list themselves meanwhile
-RELIST_S: Final = 5.0  # while no other VM is heard
-STOP_STEP_S: Final = 0.05
-SHARE_KEPT: Final = 0.85  # of the retry allowance; VMs may be counted late
 
 _logger = logging.getLogger(__name__)
 
 
-class Source(Protocol):
-    """Bring configuration, servers and VMs from where they last."""
-
-    @property
-    def reading(self) -> bool:
-        """Tell whether the source is followed with success."""
-
-    @property
-    def failing(self) -> bool:
-        """Tell whether the source fails."""
-
-    async def follow_configuration(self) -> None:
-        """Follow the configuration for good."""
-
-    async def follow_servers(self) -> None:
-        """Follow the table of servers for good."""
-
-    async def list_vms(self) -> list[Member]:
-        """Read which VMs have listed themselves."""
-
-    async def list_me(self, me: Member) -> None:
-        """List this VM."""
-
-
-class Directory(Protocol):
-    """Answer the calls on readiness and addresses."""
-
-    async def handle_ready(self, req: CallerRequest) -> None:
-        """Say whether this VM takes requests."""
-
-    async def handle_resolve(self, req: CallerRequest) -> None:
-        """Say where to connect."""
-
-
-AddressesOf = Callable[[str, str], list[str]]
-MakeSource = Callable[[View, Callable[[], bool]], Source]
-MakeDirectory = Callable[[Callable[[], bool], AddressesOf], Directory]
-
-
-@attrs.frozen(kw_only=True)
-class Adapter:
-    """Hold what connects a gateway to the world that it serves in."""
-
-    dialect: Dialect
-    decode_configuration: DecodeConfiguration
-    decode_server: DecodeServer
-    make_source: MakeSource
-    make_directory: MakeDirectory
-
-
 class GatewayNode:
     """Run one gateway until it is asked to stop."""
 
@@ -103,7 +54,7 @@
         self.leaving = False
         self._stop = asyncio.Event()
         self._news: asyncio.TimerHandle | None = None
-        self._allowances: dict[str, RetryAllowance] = {}
+        self.allowances = Allowances(cfg.retries)
         self.membership = Membership(self._describe_me())
         self.geography = Geography(
             failure_domain=cfg.failure_domain,
@@ -119,7 +70,16 @@
         )
         self.forwarder = self._make_forwarder()
         self.link = self._make_link()
-        self.source = adapter.make_source(self.view, self.link.should_read)
+        self.reader = StoreReader(
+            membership=self.membership,
+            is_reading=self._is_reading,
+        )
+        self.source = adapter.make_source(self.view, self.reader.should_read)
+        self.discovery = Discovery(
+            source=self.source,
+            link=self.link,
+            membership=self.membership,
+        )
         self.prober = self._make_prober()
         directory = adapter.make_directory(self.is_ready, self._addresses)
         self.callers = CallerServer(self.forwarder.handle, self._limits)
@@ -154,7 +114,7 @@
         parts = asyncio.create_task(self._supervise())
         stop = asyncio.create_task(self._stop.wait())
         await asyncio.wait((parts, stop), return_when=asyncio.FIRST_COMPLETED)
-        await self._leave()
+        await leave(self)
         parts.cancel()
         self.log.flush()
         log_event(_logger, 'stopped', vm=self.cfg.vm)
@@ -171,14 +131,36 @@
         )
 
     def _make_forwarder(self) -> Forwarder:
+        counters = Counters()
         return Forwarder(
             view=self.view,
             roster=self.roster,
+            dialect=self.adapter.dialect,
+            log=self.log,
+            allowance=self.allowances.of,
+            vms=self._vms,
+            counters=counters,
+            sender=self._make_sender(),
+            copies=SecondCopies(
+                allowance=self.allowances.of,
+                vms=self._vms,
+                look=self._look,
+                log=self.log,
+                counters=counters,
+            ),
+            endings=Endings(
+                dialect=self.adapter.dialect,
+                log=self.log,
+                version=lambda: self.view.version,
+                counters=counters,
+            ),
+        )
+
+    def _make_sender(self) -> Sender:
+        return Sender(
             pool=self.pool,
             dialect=self.adapter.dialect,
             log=self.log,
-            allowance=self._allowance,
-            vms=lambda: self.membership.count(now_s()),
             load_changed=self._load_changed,
             strike=self._strike,
         )
@@ -188,11 +170,10 @@
             membership=self.membership,
             view=self.view,
             roster=self.roster,
-            geography=self.geography,
             pool=self.pool,
             quarantine=self.forwarder.quarantine,
             is_ready=self.is_ready,
-            is_reading=lambda: self.source.reading,
+            is_reading=self._is_reading,
         )
 
     def _make_prober(self) -> Prober:
@@ -208,11 +189,19 @@
             tell=self._tell_probe,
         )
 
+    def _make_digests(self) -> Digests:
+        return Digests(
+            membership=self.membership,
+            roster=self.roster,
+            geography=self.geography,
+            link=self.link,
+        )
+
     async def _supervise(self) -> None:
         supervisor = Supervisor('gateway')
         supervisor.add('heartbeats', self.link.run_heartbeats)
-        supervisor.add('digests', self.link.run_digests)
-        supervisor.add('discovery', self._discover)
+        supervisor.add('digests', self._make_digests().run)
+        supervisor.add('discovery', self.discovery.run)
         supervisor.add('configuration', self.source.follow_configuration)
         supervisor.add('servers', self.source.follow_servers)
         supervisor.add('prober', self.prober.run)
@@ -226,25 +215,6 @@
             await server.listen(*split_address(address))
         await self.callers.listen(host, port)
 
-    async def _discover(self) -> None:
-        listed = False
-        await asyncio.sleep(0)
-        while True:
-            try:
-                if not listed:
-                    await self.source.list_me(self.membership.me)
-                    listed = True
-                    await self._greet()
-                    await asyncio.sleep(FIRST_LIST_S)
-                if self.membership.count(now_s()) == 1:
-                    await self._greet()
-            except WagtailforkError as exc:
-                log_fault(_logger, 'discovery_failed', error=exc)
-            await asyncio.sleep(RELIST_S if listed else FIRST_LIST_S)
-
-    async def _greet(self) -> None:
-        self.link.introduce(await self.source.list_vms())
-
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_S)
@@ -267,17 +237,11 @@
     def _addresses(self, region: str, domain: str) -> list[str]:
         return choose_addresses(self.membership, region, domain, now_s())
 
-    def _allowance(self, service: str) -> RetryAllowance:
-        found = self._allowances.get(service)
-        if found is None:
-            share = self.cfg.retries
-            found = RetryAllowance(
-                ratio=share.ratio * SHARE_KEPT,
-                slack=share.slack * SHARE_KEPT,
-                window_s=share.window_s,
-            )
-            self._allowances[service] = found
-        return found
+    def _is_reading(self) -> bool:
+        return self.source.reading
+
+    def _vms(self) -> int:
+        return self.membership.count(now_s())
 
     async def _look(self, candidate: Candidate) -> bool:
         return await self.prober.look(candidate)
@@ -314,21 +278,3 @@
         found = self.view.snapshot(version, position)
         parts = (found.configuration, found.position, dict(found.servers))
         answer_snapshot(req, parts)
-
-    # A planned stop.
-
-    async def _leave(self) -> None:
-        self.leaving = True
-        self.callers.leaving = True
-        begun = now_s()
-        log_event(_logger, 'leaving', vm=self.cfg.vm, busy=self.callers.busy())
-        self.link.announce()
-        self.link.announce_far()
-        await asyncio.sleep(self.cfg.stop_accepts_s)
-        self.callers.stop_listening()
-        while now_s() - begun < self.cfg.stop_limit_s:
-            self.callers.close_idle()
-            if not self.callers.busy():
-                break
-            await asyncio.sleep(STOP_STEP_S)
-        self.link.close()
--- /dev/null
+++ b/wagtailfork/gateway/second_copy.py
@@ -0,0 +1,92 @@
+"""Decide whether a slow repeatable request is sent to a second server.
+
+Answers the load on which a server turns slow while it works: a second copy
+goes out if its answer is forecast to be worth more than what is left of the
+first, within a share of the retry allowance.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from ..core.clock import now_s
+from ..core.event_log import EventLog
+from ..routing.allowance import RetryAllowance
+from ..routing.late_binding import Candidate, Choice, Look
+from ..routing.worth import worth_at
+from .call import Call, Counters
+
+# Expected service times after which a second copy is considered.
+CHECKS: Final = (0.35, 0.8, 1.4, 2.5, 5, 1000)
+SHARE: Final = 0.6  # of the retry allowance; the rest is for failures
+LEAST_GAIN: Final = 0.2  # of the answer's worth
+STEP_S: Final = 0.02  # how often a request not sent yet is looked at
+
+
+@attrs.define(eq=False, kw_only=True)
+class SecondCopies:
+    """Allow second copies of slow requests."""
+
+    allowance: Callable[[str], RetryAllowance]
+    vms: Callable[[], int]
+    look: Look
+    log: EventLog
+    counters: Counters
+
+    def due_in_s(self, call: Call) -> float:
+        """Give the seconds until a second copy is to be considered."""
+        if not call.sends:
+            return STEP_S
+        due_s = call.sent_at_s + call.ticket.work_s * CHECKS[call.checks]
+        return max(0, due_s - now_s())
+
+    async def wanted(self, call: Call) -> bool:
+        """Tell whether a second copy goes out now, and count it if so."""
+        candidate = call.candidate
+        if candidate is None or call.sends != 1:
+            return False
+        call.checks = min(call.checks + 1, len(CHECKS) - 1)
+        if call.route.max_attempts < 2 or not self._allowed(call):
+            return False
+        if candidate.must_look(now_s()):
+            await self.look(candidate)
+        choice = call.queue.choose(call.ticket, now_s())
+        if choice is None or not choice.free:
+            return False
+        return self._gains(call, candidate, choice)
+
+    def _gains(self, call: Call, candidate: Candidate, choice: Choice) -> bool:
+        now = now_s()
+        gain = choice.forecast.worth - worth_of_rest(call, candidate, now)
+        if gain < LEAST_GAIN:
+            return False
+        allowance = self.allowance(call.service)
+        if not allowance.spend(now, self.vms(), share=SHARE):
+            return False
+        self.counters.hedges += 1
+        self.log.emit(
+            'second_copy',
+            id=call.facts.request_id,
+            route=call.route.name,
+            gain=round(gain, 2),
+            first=candidate.name,
+            slowness=candidate.load.slowness(now),
+            elapsed_ms=(now - call.sent_at_s) * 1000,
+        )
+        return True
+
+    def _allowed(self, call: Call) -> bool:
+        allowance = self.allowance(call.service)
+        return allowance.has(now_s(), self.vms(), share=SHARE)
+
+
+def worth_of_rest(call: Call, candidate: Candidate, now: float) -> float:
+    """Forecast the worth of an answer that is under way."""
+    if now < candidate.load.out_until_s:
+        return 0
+    need = call.ticket.need(now)
+    # Past its expected end, half of the work is taken to be left.
+    rest_s = max(need.work_s - (now - call.sent_at_s), need.work_s / 2)
+    service_s = rest_s * candidate.load.slowness(now)
+    return worth_at(service_s + candidate.distance.round_trip_s / 2, need)
--- /dev/null
+++ b/wagtailfork/gateway/store_reader.py
@@ -0,0 +1,54 @@
+"""Decide whether this VM follows the store for its failure domain."""
+
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from ..core.clock import now_s
+from ..fleet.members import Membership, rendezvous
+
+GREETINGS_S: Final = 0.7  # in which a VM that starts hears of the others
+TAKE_OVER_S: Final = 0.6  # time for the first VM to be heard reading
+_KEY: Final = 'store-reader'
+
+
+def _after_greetings() -> float:
+    return now_s() + GREETINGS_S
+
+
+@attrs.define(eq=False, kw_only=True)
+class StoreReader:
+    """Let one VM of a domain read; more only while none is heard to."""
+
+    membership: Membership
+    is_reading: Callable[[], bool]
+    reads_from_s: float = attrs.field(factory=_after_greetings)
+    _unread_since_s: float | None = None
+
+    def should_read(self) -> bool:
+        """Tell whether this VM follows the store now.
+
+        The VM with the highest hash does; the others do so as well as long
+        as no neighbour is heard to follow it with success.
+        """
+        now = now_s()
+        if now < self.reads_from_s:
+            return False
+        neighbours = self.membership.neighbours(now)
+        reading = [one.address for one in neighbours if one.reading]
+        if reading:
+            self._unread_since_s = None
+            return self._is_first(reading) and self.is_reading()
+        if self._is_first([one.address for one in neighbours]):
+            return True
+        return self._overdue(now)
+
+    def _is_first(self, others: list[str]) -> bool:
+        me = self.membership.me.address
+        return rendezvous(_KEY, [*others, me]) == me
+
+    def _overdue(self, now: float) -> bool:
+        if self._unread_since_s is None:
+            self._unread_since_s = now
+        return now - self._unread_since_s > TAKE_OVER_S
--- a/wagtailfork/http1/__init__.py
+++ b/wagtailfork/http1/__init__.py
@@ -3,7 +3,9 @@
 from .answers import Answer, AnswerFailed, NothingSent
 from .backend import BackendConnection
 from .body import Body
-from .caller import CallerConnection, CallerRequest, CallerServer, Limits
+from .caller import CallerConnection
+from .request import CallerRequest, Limits
+from .server import CallerServer
 
 __all__ = (
     'Answer',
--- a/wagtailfork/http1/caller.py
+++ b/wagtailfork/http1/caller.py
@@ -4,137 +4,38 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
-import attrs
 import httptools
 
 from ..core.clock import now_s
 from .body import Body
-from .headers import CRLF, Header, header_value, render_chunk, render_head
+from .headers import Header, render_head
+from .idle_watch import IdleWatch
+from .request import CallerRequest, Limits
 
 _LINGER_S: Final = 1.0  # time for a caller to read an answer sent early
 _QUEUED_REQUESTS: Final = 8  # requests sent ahead before reading pauses
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
-_TIMER_STEP_S: Final = 0.25  # resolution of the idle and header time limits
 _STATUS_LINES: Final = {
     status.value: f'HTTP/1.1 {status.value} {status.phrase}'.encode()
     for status in HTTPStatus
 }
 
 
-@attrs.frozen(kw_only=True)
-class Limits:
-    """Bound what a caller may send and how long it may take."""
+class ServerSide(Protocol):
+    """Name what a connection needs of its server."""
 
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 67108864
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
-
-
-@attrs.define(eq=False)
-class CallerRequest:
-    """Hold one request as it arrives, and the way to answer it."""
-
-    conn: 'CallerConnection'
-    arrived_s: float
-    method: bytes = b''
-    target: bytes = b''
-    headers: list[Header] = attrs.field(factory=list)
-    body: Body = attrs.field(factory=Body)
-    keep_alive: bool = True
-    answered: bool = False
-
-    def find(self, name: bytes) -> bytes | None:
-        """Give the first value of a header, by its lower-case name."""
-        return header_value(self.headers, name)
-
-    def answer(
-        self,
-        status: int,
-        headers: list[Header],
-        payload: bytes = b'',
-    ) -> None:
-        """Send a whole answer."""
-        head = [*headers, (b'Content-Length', str(len(payload)).encode())]
-        shown = b'' if self.method == b'HEAD' else payload
-        self.conn.start_answer(self, status, head, shown)
-        self.conn.end_answer(self)
-
-    async def stream_answer(
-        self,
-        status: int,
-        headers: list[Header],
-        body: Body,
-    ) -> None:
-        """Send an answer whose end is not known yet; raise ``BodyBroken``."""
-        head = [*headers, (b'Transfer-Encoding', b'chunked')]
-        self.conn.start_answer(self, status, head, b'')
-        async for piece in body.read():
-            await self.conn.write_piece(render_chunk(piece))
-        await self.conn.write_piece(b'0' + CRLF + CRLF)
-        self.conn.end_answer(self)
-
-    def break_off(self) -> None:
-        """Close the connection so that no answer looks whole."""
-        self.conn.abort()
-
-
-Handler = Callable[[CallerRequest], Awaitable[None]]
-
-
-class CallerServer:
-    """Serve the connections of one listening address."""
-
-    def __init__(
-        self,
-        handler: Handler,
-        limits: Callable[[], Limits],
-    ) -> None:
-        """Prepare a server without a socket."""
-        self.handler = handler
-        self.limits = limits
-        self.leaving = False
-        self.connections: set[CallerConnection] = set()
-        self._server: asyncio.Server | None = None
-
-    async def listen(self, host: str, port: int) -> None:
-        """Accept connections on an address."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: CallerConnection(self),
-            host,
-            port,
-            backlog=1024,
-        )
-
-    def port(self) -> int:
-        """Give the port that is listened on."""
-        if self._server is None:
-            return 0
-        number: int = self._server.sockets[0].getsockname()[1]
-        return number
-
-    def stop_listening(self) -> None:
-        """Take no new connections."""
-        if self._server is not None:
-            self._server.close()
-
-    def close_idle(self) -> None:
-        """Close connections on which no request waits."""
-        for conn in list(self.connections):
-            conn.close_if_idle()
-
-    def busy(self) -> int:
-        """Count connections on which a request is under way."""
-        return sum(1 for conn in self.connections if not conn.idle)
+    leaving: bool
+    connections: 'set[CallerConnection]'
+    handler: Callable[[CallerRequest], Awaitable[None]]
+    limits: Callable[[], Limits]
 
 
 class CallerConnection(asyncio.Protocol):
     """Parse requests strictly and answer them in order."""
 
-    def __init__(self, server: CallerServer) -> None:
+    def __init__(self, server: ServerSide) -> None:
         """Prepare an unconnected protocol."""
         self._server = server
         self._transport: Any = None
@@ -146,8 +47,7 @@
         self._closing = False
         self._header_bytes = 0
         self._reading_head = False
-        self._last_activity = now_s()
-        self._timer: asyncio.TimerHandle | None = None
+        self._watch = IdleWatch(self, server.limits)
         self._drained = asyncio.Event()
         self._drained.set()
 
@@ -157,11 +57,11 @@
         """Register the connection and watch its idle time."""
         self._transport = transport
         self._server.connections.add(self)
-        self._arm_timer()
+        self._watch.start()
 
     def data_received(self, raw: bytes) -> None:
         """Parse what came."""
-        self._last_activity = now_s()
+        self._watch.note_activity()
         if self._closing:
             return
         try:
@@ -183,8 +83,7 @@
         self._closing = True
         self._server.connections.discard(self)
         self._drained.set()
-        if self._timer is not None:
-            self._timer.cancel()
+        self._watch.stop()
         if self._incoming is not None:
             self._incoming.body.fail()
         if self._task is not None:
@@ -261,6 +160,28 @@
             self._incoming.body.finish()
             self._incoming = None
 
+    # What the watch on idle time sees and does.
+
+    @property
+    def reading_since_s(self) -> float | None:
+        """Tell since when a head is being read."""
+        if self._incoming is None or not self._reading_head:
+            return None
+        return self._incoming.arrived_s
+
+    @property
+    def reading(self) -> bool:
+        """Tell whether a request is still arriving."""
+        return self._incoming is not None
+
+    def expire(self) -> None:
+        """End a connection that has been idle, or a request that stopped."""
+        if self._incoming is not None:
+            self._incoming.body.fail()
+            self._reject(HTTPStatus.REQUEST_TIMEOUT)
+        else:
+            self.close_if_idle()
+
     # The request's side.
 
     @property
@@ -356,7 +277,7 @@
         finally:
             self._current = None
             self._task = None
-            self._last_activity = now_s()
+            self._watch.note_activity()
         if not req.answered:
             self.abort()
         self._transport.resume_reading()
@@ -369,42 +290,3 @@
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
-
-    def _arm_timer(self) -> None:
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(self._wait_s(), self._check_time)
-
-    def _wait_s(self) -> float:
-        limits = self._server.limits()
-        if self._incoming is not None:
-            return _TIMER_STEP_S
-        passed = now_s() - self._last_activity
-        longest = min(limits.idle_timeout_s - passed, limits.header_timeout_s)
-        return max(_TIMER_STEP_S, longest)
-
-    def _check_time(self) -> None:
-        if self._closing:
-            return
-        limits = self._server.limits()
-        now = now_s()
-        req = self._incoming
-        if req is not None and self._reading_head:
-            if now - req.arrived_s > limits.header_timeout_s:
-                self._reject(HTTPStatus.REQUEST_TIMEOUT)
-                return
-        elif now - self._last_activity > limits.idle_timeout_s:
-            self._expire()
-            return
-        self._arm_timer()
-
-    def _expire(self) -> None:
-        if self._incoming is not None:
-            # A body that stopped: its request ends without its last bytes.
-            self._incoming.body.fail()
-            self._reject(HTTPStatus.REQUEST_TIMEOUT)
-            return
-        if self._current is None:
-            self._closing = True
-            self._transport.close()
-            return
-        self._arm_timer()
--- /dev/null
+++ b/wagtailfork/http1/server.py
@@ -0,0 +1,56 @@
+"""A listening address and the connections of its callers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from .caller import CallerConnection
+from .request import CallerRequest, Limits
+
+Handler = Callable[[CallerRequest], Awaitable[None]]
+
+
+class CallerServer:
+    """Serve the connections of one listening address."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Callable[[], Limits],
+    ) -> None:
+        """Prepare a server without a socket."""
+        self.handler = handler
+        self.limits = limits
+        self.leaving = False
+        self.connections: set[CallerConnection] = set()
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int) -> None:
+        """Accept connections on an address."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: CallerConnection(self),
+            host,
+            port,
+            backlog=1024,
+        )
+
+    def port(self) -> int:
+        """Give the port that is listened on."""
+        if self._server is None:
+            return 0
+        number: int = self._server.sockets[0].getsockname()[1]
+        return number
+
+    def stop_listening(self) -> None:
+        """Take no new connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_idle(self) -> None:
+        """Close connections on which no request waits."""
+        for conn in list(self.connections):
+            conn.close_if_idle()
+
+    def busy(self) -> int:
+        """Count connections on which a request is under way."""
+        return sum(1 for conn in self.connections if not conn.idle)
--- a/wagtailfork/platform/adapter.py
+++ b/wagtailfork/platform/adapter.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 
 from ..core.settings import GatewaySettings
-from ..gateway.node import Adapter, GatewayNode
+from ..gateway.adapter import Adapter
+from ..gateway.node import GatewayNode
 from ..gateway.view import View
 from .calls import PlatformCalls
 from .documents import decode_configuration, decode_server
--- a/wagtailfork/platform/calls.py
+++ b/wagtailfork/platform/calls.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from ..http1.caller import CallerRequest
+from ..http1.request import CallerRequest
 
 _OK: Final = 200
 _UNAVAILABLE: Final = 503
--- a/wagtailfork/platform/documents.py
+++ b/wagtailfork/platform/documents.py
@@ -6,7 +6,7 @@
 from ..core.errors import WagtailforkError
 from ..core.results import ResultCode
 from ..gateway.model import BackendServer, Configuration
-from ..http1.caller import Limits
+from ..http1.request import Limits
 from ..routing.routes import RequestKind, Route, RouteTable, ServiceRule
 
 _MS: Final = 1000
--- a/wagtailfork/routing/allowance.py
+++ b/wagtailfork/routing/allowance.py
@@ -1,9 +1,14 @@
 """This VM's share of the retries that a service bears."""
 
 from collections import deque
+from typing import Final
 
 import attrs
 
+from ..core.settings import RetryShare
+
+SHARE_KEPT: Final = 0.85  # of the allowance; VMs may be counted late
+
 
 @attrs.define
 class RetryAllowance:
@@ -47,3 +52,23 @@
         for times in (self._earned, self._spent):
             while times and now - times[0] > self.window_s:
                 times.popleft()
+
+
+@attrs.define
+class Allowances:
+    """Hold an allowance for each service."""
+
+    share: RetryShare
+    _by_service: dict[str, RetryAllowance] = attrs.field(factory=dict)
+
+    def of(self, service: str) -> RetryAllowance:
+        """Give the allowance of a service."""
+        found = self._by_service.get(service)
+        if found is None:
+            found = RetryAllowance(
+                ratio=self.share.ratio * SHARE_KEPT,
+                slack=self.share.slack * SHARE_KEPT,
+                window_s=self.share.window_s,
+            )
+            self._by_service[service] = found
+        return found
