Bound crashing requests, hold lapsed entries, survive SIGHUP

Cause: SIGHUP ended a gateway; a store that returns from an outage lists fewer servers for two seconds; nothing counted requests that crash their servers.

--- a/wagtailfork/core/logs.py
+++ b/wagtailfork/core/logs.py
@@ -7,9 +7,10 @@
 from logfmter import Logfmter
 
 
-def configure_logs(level: str) -> None:
-    """Send every log event to standard error as one logfmt line."""
-    handler = logging.StreamHandler(sys.stderr)
+def configure_logs(level: str, *, to_stdout: bool = False) -> None:
+    """Send every log event to one stream as one logfmt line."""
+    stream = sys.stdout if to_stdout else sys.stderr
+    handler = logging.StreamHandler(stream)
     handler.setFormatter(
         Logfmter(
             keys=['at', 'level', 'logger'],
--- a/wagtailfork/gateway/forwarder.py
+++ b/wagtailfork/gateway/forwarder.py
@@ -123,6 +123,9 @@
             )
             return
         sent = await self._try_servers(call)
+        if sent.good and self.quarantine.is_suspect(call.fingerprint):
+            # A request that was answered is not the one that crashes servers.
+            self.quarantine.absolve(call.fingerprint)
         await self.endings.finish(call, sent)
 
     async def _try_servers(self, call: Call) -> Sent:
--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -21,6 +21,7 @@
 from ..routing.late_binding import Candidate
 from .adapter import Adapter
 from .call import Counters
+from .crash_watch import CrashWatch
 from .digests import Digests
 from .discovery import Discovery
 from .endings import Endings
@@ -70,6 +71,11 @@
         )
         self.forwarder = self._make_forwarder()
         self.link = self._make_link()
+        self.crashes = CrashWatch(
+            roster=self.roster,
+            quarantine=self.forwarder.quarantine,
+            tell=self.link.tell_strike,
+        )
         self.reader = StoreReader(
             membership=self.membership,
             is_reading=self._is_reading,
@@ -100,6 +106,13 @@
         """Begin a planned stop."""
         self._stop.set()
 
+    def reload(self, cfg: GatewaySettings) -> None:
+        """Take over new settings, except addresses and places."""
+        self.log.lines_per_s = cfg.log_lines_per_s
+        self.allowances.share = cfg.retries
+        self.prober.period_s = cfg.probe_period_s
+        log_event(_logger, 'reloaded', vm=cfg.vm)
+
     async def run(self) -> None:
         """Serve until asked to stop, then leave cleanly."""
         log_event(
@@ -220,9 +233,19 @@
             await asyncio.sleep(SWEEP_S)
             self.pool.sweep()
             self.membership.forget_old(now_s())
+            self._sweep_view()
             for queue in self.roster.queues.values():
                 queue.pump()
 
+    def _sweep_view(self) -> None:
+        now = now_s()
+        neighbours = self.membership.neighbours(now)
+        if not self._is_reading() and not any(
+            one.reading for one in neighbours
+        ):
+            self.view.note_trouble(now)
+        self.view.drop_lapsed(now)
+
     async def _flush_log(self) -> None:
         while True:
             await asyncio.sleep(FLUSH_S)
@@ -256,7 +279,7 @@
             self.roster.queue(server.service).pump_soon()
 
     def _strike(self, fingerprint: str, server: str) -> None:
-        """Leave a request whose answer was lost unpunished for now."""
+        self.crashes.suspect(fingerprint, server)
 
     def _on_view_changed(self) -> None:
         self.roster.update(self.view.servers)
--- a/wagtailfork/gateway/tests/test_node.py
+++ b/wagtailfork/gateway/tests/test_node.py
@@ -4,10 +4,12 @@
 import json
 from collections.abc import Awaitable, Callable
 
+import attrs
 import testtools
 
 from ...standin.scripted_backend import (
     answer_twice,
+    crash,
     cut_short,
     lose_answer,
     shed,
@@ -245,3 +247,36 @@
 def _script_all(rig: Rig, script: object) -> None:
     for backend in rig.backends.values():
         backend.script = script  # type: ignore[assignment]
+
+
+class TestCrashes(testtools.TestCase):
+    """A request that crashes servers is bounded over the fleet."""
+
+    def test_crashing_request_is_refused_everywhere(self) -> None:
+        """After two servers, no VM sends it again."""
+        run_scene(self._crash)
+
+    async def _crash(self, rig: Rig) -> None:
+        await rig.start(backends=4, gateways=2)
+        for backend in rig.backends.values():
+            backend.script = crash
+        for number in range(4):
+            path = '/pay/poison'
+            await rig.call(path, f'p{number}', b'x', node=number % 2)
+            await asyncio.sleep(0.3)
+        self.assertEqual(2, len(rig.runs()))
+
+
+class TestSettings(testtools.TestCase):
+    """Settings may change while the gateway runs."""
+
+    def test_reload_keeps_serving(self) -> None:
+        """New limits are taken over without a restart."""
+        run_scene(self._reload)
+
+    async def _reload(self, rig: Rig) -> None:
+        await rig.start()
+        node = rig.nodes[0]
+        node.reload(attrs.evolve(node.cfg, log_lines_per_s=7))
+        self.assertEqual(7, node.log.lines_per_s)
+        self.assertEqual(200, (await rig.call('/look/1')).status)
--- a/wagtailfork/gateway/view.py
+++ b/wagtailfork/gateway/view.py
@@ -12,6 +12,8 @@
 from .model import BackendServer, Configuration
 
 NO_POSITION: Final = -1
+LENIENT_S: Final = 3.0  # after the source's return, for entries to come back
+LAPSE_S: Final = 2.0  # within which a living server registers again
 
 _logger = logging.getLogger(__name__)
 
@@ -47,6 +49,8 @@
     position: int = NO_POSITION
     servers: dict[str, BackendServer] = attrs.field(factory=dict)
     changed_at_s: float = 0
+    _lenient_until_s: float = 0
+    _lapsed: dict[str, float] = attrs.field(factory=dict)
     _raw_servers: dict[str, bytes] = attrs.field(factory=dict)
 
     @property
@@ -118,6 +122,20 @@
             self._put(name, raw, source)
         self._note_change()
 
+    def note_trouble(self, now: float) -> None:
+        """Note that the source is away: entries may lapse that come back."""
+        self._lenient_until_s = now + LENIENT_S
+
+    def drop_lapsed(self, now: float) -> None:
+        """Drop servers whose entries have not come back in time."""
+        gone = [name for name, due_s in self._lapsed.items() if now >= due_s]
+        for name in gone:
+            self._lapsed.pop(name)
+            self.servers.pop(name, None)
+            log_event(_logger, 'server_lapsed', server=name)
+        if gone:
+            self._note_change()
+
     def snapshot(self, version: int, position: int) -> Snapshot:
         """Give what is newer than a version and a position."""
         newer = self.position > position
@@ -146,6 +164,7 @@
             log_fault(_logger, 'server_unreadable', server=name, error=exc)
             return
         self.servers[name] = found
+        self._lapsed.pop(name, None)
         log_event(
             _logger,
             'server_listed',
@@ -157,8 +176,22 @@
 
     def _remove(self, name: str, source: str) -> None:
         self._raw_servers.pop(name, None)
-        if self.servers.pop(name, None) is not None:
-            log_event(_logger, 'server_unlisted', server=name, source=source)
+        server = self.servers.get(name)
+        if server is None:
+            return
+        now = now_s()
+        held = now < self._lenient_until_s and not server.draining
+        if held:
+            self._lapsed[name] = now + LAPSE_S
+        else:
+            self.servers.pop(name)
+        log_event(
+            _logger,
+            'server_unlisted',
+            server=name,
+            source=source,
+            held=held,
+        )
 
     def _note_change(self) -> None:
         self.changed_at_s = now_s()
--- a/wagtailfork/platform/source.py
+++ b/wagtailfork/platform/source.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from ..core.clock import now_s
 from ..core.errors import WagtailforkError
 from ..core.logs import log_event, log_fault
 from ..fleet.members import Member
@@ -103,6 +104,7 @@
                 await step()
             except WagtailforkError as exc:
                 health.note(str(exc))
+                self.view.note_trouble(now_s())
                 await asyncio.sleep(health.backoff_s())
             else:
                 health.note(None)
--- a/wagtailfork/routing/worth.py
+++ b/wagtailfork/routing/worth.py
@@ -74,13 +74,14 @@
     belief = load.belief(now)
     told_s = usual_s * load.slowness(now)
     doubted_s = usual_s * noise.mean()
-    answer_s = belief * told_s + (1 - belief) * doubted_s
-    answer_s += distance.round_trip_s
+    service_s = belief * told_s + (1 - belief) * doubted_s
+    answer_s = service_s + distance.round_trip_s
     gained = 0.0
     if belief > NEGLIGIBLE:
         gained += belief * _worth_of(told_s, need, distance)
-    if belief < 1 - NEGLIGIBLE:
-        gained += (1 - belief) * _worth_in_doubt(usual_s, need, distance, noise)
+    doubt = 1 - belief
+    if doubt > NEGLIGIBLE:
+        gained += doubt * _worth_in_doubt(usual_s, need, distance, noise)
     gained *= 1 - load.failing(now)
     gained -= distance.price_per_kb * need.kilobytes + distance.reluctance
     gained -= LATENCY_WEIGHT * answer_s / need.objective_s
--- a/wagtailfork/standin/scripted_backend.py
+++ b/wagtailfork/standin/scripted_backend.py
@@ -73,6 +73,17 @@
     writer.transport.abort()
 
 
+async def crash(
+    backend: 'ScriptedBackend',
+    seen: SeenRequest,
+    writer: Writer,
+) -> None:
+    """Begin to run the request and take the whole server down."""
+    backend.runs.append(seen)
+    await backend.stop()
+    writer.transport.abort()
+
+
 async def answer_twice(
     backend: 'ScriptedBackend',
     seen: SeenRequest,
