--- a/wagtailfork/fleet/members.py
+++ b/wagtailfork/fleet/members.py
@@ -132,6 +132,11 @@
         """Count the living VMs, this one included."""
         return len(self.alive(now)) + 1
 
+    def near_count(self, now: float) -> int:
+        """Count the living VMs of the region, this one included."""
+        alive = self.alive(now)
+        return 1 + sum(one.region == self.me.region for one in alive)
+
     def silent(self, now: float) -> list[Member]:
         """Give known VMs that do not answer."""
         heard = self._table.values()
--- a/wagtailfork/gateway/call.py
+++ b/wagtailfork/gateway/call.py
@@ -1,5 +1,6 @@
 """One request of a caller on its way, and how its sends ended."""
 
+import asyncio
 import zlib
 from typing import Final
 
@@ -50,6 +51,7 @@
     sends: int = 0
     tries: int = 0
     sent_at_s: float = 0
+    sent: asyncio.Event = attrs.field(factory=asyncio.Event)
     checks: int = 0
     candidate: Candidate | None = None
     may_have_run: bool = False
--- a/wagtailfork/gateway/forwarder.py
+++ b/wagtailfork/gateway/forwarder.py
@@ -173,6 +173,8 @@
         settled = not call.route.repeatable
         best: Sent | None = None
         try:
+            if not settled:
+                await _sent_or_done(call, tasks)
             while not _is_final(best, tasks):
                 wait_s = None if settled else self.copies.due_in_s(call)
                 done, tasks = await asyncio.wait(
@@ -191,6 +193,18 @@
         return best
 
 
+async def _sent_or_done(call: Call, tasks: 'set[asyncio.Task[Sent]]') -> None:
+    """Wait until the first copy has left, or will not leave at all."""
+    sent = asyncio.ensure_future(call.sent.wait())
+    try:
+        await asyncio.wait(
+            {sent, *tasks},
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+    finally:
+        sent.cancel()
+
+
 def _is_final(best: Sent | None, others: 'set[asyncio.Task[Sent]]') -> bool:
     """Tell whether nothing better is to be waited for."""
     return best is not None and (best.good or not others)
--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -234,7 +234,9 @@
             self.pool.sweep()
             self.membership.forget_old(now_s())
             self._sweep_view()
+            near = self.membership.near_count(now_s())
             for queue in self.roster.queues.values():
+                queue.sharers = near
                 queue.pump()
 
     def _sweep_view(self) -> None:
--- a/wagtailfork/gateway/second_copy.py
+++ b/wagtailfork/gateway/second_copy.py
@@ -21,7 +21,6 @@
 CHECKS: Final = (0.35, 0.8, 1.4, 2.5, 5, 1000)
 SHARE: Final = 0.6  # of the retry allowance; the rest is for failures
 LEAST_GAIN: Final = 0.2  # of the answer's worth
-STEP_S: Final = 0.02  # how often a request not sent yet is looked at
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -36,8 +35,6 @@
 
     def due_in_s(self, call: Call) -> float:
         """Give the seconds until a second copy is to be considered."""
-        if not call.sends:
-            return STEP_S
         due_s = call.sent_at_s + call.ticket.work_s * CHECKS[call.checks]
         return max(0, due_s - now_s())
 
--- a/wagtailfork/gateway/sending.py
+++ b/wagtailfork/gateway/sending.py
@@ -89,6 +89,7 @@
         head = self.dialect.render_request(req, left_s, candidate.name)
         call.sends += 1
         call.sent_at_s = begun
+        call.sent.set()
         call.candidate = candidate
         self.log.emit(
             'sent',
--- a/wagtailfork/routing/late_binding.py
+++ b/wagtailfork/routing/late_binding.py
@@ -18,7 +18,7 @@
 
 GOOD_ENOUGH: Final = 0.85  # worth from which no farther server is looked at
 LATE_FACTOR: Final = 1.2  # margin on the service time of a full server
-MOST_SCANNED: Final = 8  # waiting requests that one pass looks at
+MOST_MISSES: Final = 2  # in one pass; what holds for two holds for the rest
 PUMP_S: Final = 0.004  # short beside service times, joins bursts of news
 MOST_COMPARED: Final = 8  # servers of one distance; a sample is as good
 NO_SERVER_RETRY_S: Final = 0.5
@@ -66,6 +66,16 @@
     bound: 'asyncio.Future[Candidate] | None' = None
     arrived_s: float = attrs.field(factory=now_s)
 
+    def left_s(self, now: float) -> float:
+        """Give the seconds left for an answer in time."""
+        return self.objective_at_s - now
+
+    def may_wait(self, now: float, *, others: bool) -> bool:
+        """Tell whether waiting on is worth it, with ``others`` that wait."""
+        if others and self.left_s(now) < self.work_s:
+            return False
+        return self.deadline_at_s - now > self.work_s
+
     def need(self, now: float) -> Need:
         """Say what is needed from now on."""
         return Need(
@@ -114,6 +124,7 @@
     noise: Noise = attrs.field(factory=Noise)
     full: FullCost = attrs.field(factory=FullCost)
     servers: dict[str, Candidate] = attrs.field(factory=dict)
+    sharers: int = 1  # VMs that send to the same servers
     wanted_at_s: float = -NEVER_S
     _pumping: asyncio.TimerHandle | None = None
     _waiting: list[Ticket] = attrs.field(factory=list)
@@ -168,11 +179,14 @@
 
     def _bind_first(self, now: float) -> None:
         bound = []
-        for ticket in self._waiting[:MOST_SCANNED]:
-            if not self._any_free():
+        misses = 0
+        for ticket in self._waiting:
+            if misses >= MOST_MISSES or not self._any_free():
                 break
             if self._bind(ticket, now):
                 bound.append(ticket)
+            else:
+                misses += 1
         for done in bound:
             self._waiting.remove(done)
 
@@ -202,14 +216,13 @@
 
     def room_in_s(self, ticket: Ticket) -> float:
         """Estimate the seconds until one more request gets a slot."""
-        slots = sum(
-            candidate.load.slots
-            for candidate in self.servers.values()
-            if not candidate.draining
-        )
+        slots = 0
+        for candidate in self.servers.values():
+            if not candidate.draining and not candidate.distance.reluctance:
+                slots += candidate.load.slots
         ahead = 1 + sum(one.rank <= ticket.rank for one in self._waiting)
-        service_s = ticket.work_s * self.noise.mean()
-        return service_s * ahead / max(1, slots)
+        service_s = ticket.work_s * self.noise.mean() * self.full.factor
+        return service_s * ahead * self.sharers / max(1, slots)
 
     async def _place_once(self, ticket: Ticket) -> Candidate:
         now = now_s()
@@ -230,8 +243,9 @@
 
     def _check_room(self, ticket: Ticket, now: float) -> None:
         wait_s = self.room_in_s(ticket)
-        if now + wait_s + ticket.work_s > ticket.deadline_at_s:
-            raise Refused('no_room', wait_s / 2)
+        answer_s = wait_s + ticket.work_s
+        if self._waiting and answer_s > ticket.left_s(now):
+            raise Refused('no_room', wait_s)
         if len(self._waiting) >= MOST_WAITING:
             raise Refused('queue_full', wait_s)
 
@@ -259,14 +273,19 @@
         return True
 
     def _refuse_hopeless(self, now: float) -> None:
-        """Refuse at once what can no longer be answered before its deadline."""
+        """Refuse what would be late while others can still be in time.
+
+        Serving it would make the next one late as well.
+        """
+        others = any(one.left_s(now) > one.work_s for one in self._waiting)
         still = []
         for ticket in self._waiting:
             bound = ticket.bound
-            if ticket.deadline_at_s - now > ticket.work_s or bound is None:
+            if bound is None or ticket.may_wait(now, others=others):
                 still.append(ticket)
             elif not bound.done():
-                bound.set_exception(Refused('no_room', 0))
+                room_s = self.room_in_s(ticket)
+                bound.set_exception(Refused('late', room_s))
         self._waiting = still
 
     def _any_free(self) -> bool:
--- a/wagtailfork/routing/worth.py
+++ b/wagtailfork/routing/worth.py
@@ -72,22 +72,25 @@
     wait_s = max(0, load.busy(now) - load.slots + 1) * work_s / load.slots
     usual_s = wait_s + work_s
     belief = load.belief(now)
-    told_s = usual_s * load.slowness(now)
-    doubted_s = usual_s * noise.mean()
-    service_s = belief * told_s + (1 - belief) * doubted_s
-    answer_s = service_s + distance.round_trip_s
+    slowness = load.slowness(now)
     gained = 0.0
     if belief > NEGLIGIBLE:
-        gained += belief * _worth_of(told_s, need, distance)
+        gained += belief * _worth_of(usual_s * slowness, need, distance)
     doubt = 1 - belief
     if doubt > NEGLIGIBLE:
         gained += doubt * _worth_in_doubt(usual_s, need, distance, noise)
+    answer_s = usual_s * (belief * slowness + doubt * noise.mean())
+    answer_s += distance.round_trip_s
     gained *= 1 - load.failing(now)
-    gained -= distance.price_per_kb * need.kilobytes + distance.reluctance
-    gained -= LATENCY_WEIGHT * answer_s / need.objective_s
+    gained -= _cost(answer_s, need, distance)
     return Forecast(wait_s, answer_s, gained)
 
 
+def _cost(answer_s: float, need: Need, distance: Distance) -> float:
+    paid = distance.price_per_kb * need.kilobytes + distance.reluctance
+    return paid + LATENCY_WEIGHT * answer_s / need.objective_s
+
+
 def _worth_in_doubt(
     usual_s: float,
     need: Need,
