--- a/wagtailfork/gateway/call.py
+++ b/wagtailfork/gateway/call.py
@@ -53,6 +53,7 @@
     sent_at_s: float = 0
     sent: asyncio.Event = attrs.field(factory=asyncio.Event)
     checks: int = 0
+    copied: bool = False
     candidate: Candidate | None = None
     may_have_run: bool = False
 
--- a/wagtailfork/gateway/forwarder.py
+++ b/wagtailfork/gateway/forwarder.py
@@ -170,27 +170,54 @@
     async def _race(self, call: Call) -> Sent:
         """Send once, and a second time beside it if that is worth it."""
         tasks = {asyncio.create_task(self.sender.send(call))}
-        settled = not call.route.repeatable
-        best: Sent | None = None
         try:
-            if not settled:
-                await _sent_or_done(call, tasks)
-            while not _is_final(best, tasks):
-                wait_s = None if settled else self.copies.due_in_s(call)
-                done, tasks = await asyncio.wait(
-                    tasks,
-                    timeout=wait_s,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                best = _best(done)
-                if not done and await self.copies.wanted(call):
-                    settled = True
-                    tasks.add(asyncio.create_task(self.sender.send(call)))
+            return await self._watch(call, tasks)
         finally:
             for task in tasks:
                 task.cancel()
-        assert best is not None  # noqa: S101
-        return best
+
+    async def _watch(
+        self,
+        call: Call,
+        tasks: 'set[asyncio.Task[Sent]]',
+    ) -> Sent:
+        """Wait for the best outcome; ``tasks`` keeps what still runs."""
+        if call.route.repeatable:
+            await _sent_or_done(call, tasks)
+        while True:
+            done = await _first_done(tasks, self._look_again_s(call))
+            tasks.difference_update(done)
+            best = _best(done)
+            if best is None:
+                await self._consider_copy(call, tasks)
+            elif best.good or not tasks:
+                return best
+
+    def _look_again_s(self, call: Call) -> float | None:
+        if call.copied or not call.route.repeatable:
+            return None
+        return self.copies.due_in_s(call)
+
+    async def _consider_copy(
+        self,
+        call: Call,
+        tasks: 'set[asyncio.Task[Sent]]',
+    ) -> None:
+        if await self.copies.wanted(call):
+            call.copied = True
+            tasks.add(asyncio.create_task(self.sender.send(call)))
+
+
+async def _first_done(
+    tasks: 'set[asyncio.Task[Sent]]',
+    limit_s: float | None,
+) -> 'set[asyncio.Task[Sent]]':
+    done, _ = await asyncio.wait(
+        tasks,
+        timeout=limit_s,
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+    return done
 
 
 async def _sent_or_done(call: Call, tasks: 'set[asyncio.Task[Sent]]') -> None:
@@ -205,11 +232,6 @@
         sent.cancel()
 
 
-def _is_final(best: Sent | None, others: 'set[asyncio.Task[Sent]]') -> bool:
-    """Tell whether nothing better is to be waited for."""
-    return best is not None and (best.good or not others)
-
-
 def _best(done: 'set[asyncio.Task[Sent]]') -> Sent | None:
     best: Sent | None = None
     for task in done:
--- a/wagtailfork/routing/worth.py
+++ b/wagtailfork/routing/worth.py
@@ -68,8 +68,7 @@
     0.0
     """
     work_s = _usual_work_s(load, need, now, full=full, cold=cold)
-    # A request that waits meets slots that are freed one after the other.
-    wait_s = max(0, load.busy(now) - load.slots + 1) * work_s / load.slots
+    wait_s = _wait_s(load, work_s, now)
     usual_s = wait_s + work_s
     belief = load.belief(now)
     slowness = load.slowness(now)
@@ -86,6 +85,12 @@
     return Forecast(wait_s, answer_s, gained)
 
 
+def _wait_s(load: ServerLoad, work_s: float, now: float) -> float:
+    """Give the wait for slots that are freed one after the other."""
+    excess = load.busy(now) - load.slots + 1
+    return max(0, excess) * work_s / load.slots
+
+
 def _cost(answer_s: float, need: Need, distance: Distance) -> float:
     paid = distance.price_per_kb * need.kilobytes + distance.reluctance
     return paid + LATENCY_WEIGHT * answer_s / need.objective_s
