Place requests of large domains through a coordinator for each service

Cause: beyond nine VMs a domain nobody knows the queue of a service. Each VM sees a few requests a second, so its reports are seconds old; it probes up to four servers a request and finds each failed server by itself.

One VM of the domain, chosen by rendezvous hashing among the ready ones, now queues and places the requests of all for a service, with the queue that small domains use. A VM whose coordinator does not respond in 80 ms chooses itself. Waiting requests are also checked again every 50 ms, since estimates decay.

Ruled out: the queue of each VM (19 of 4,130 requests were queued) and the servers' own queues (1.4 requests at a server when chosen).

--- a/wagtailfork/fleet/load_sharing.py
+++ b/wagtailfork/fleet/load_sharing.py
@@ -8,7 +8,8 @@
 
 from ..core.clock import now_s
 from ..routing.load import LoadReport, ServerLoad
-from .messages import LoadRow, LoadUpdate
+from .load_rows import LoadRow
+from .messages import LoadUpdate
 
 BATCH_DELAY_S: Final = 0.008  # short next to a request; batches bursts
 MAX_DATAGRAM_ROWS: Final = 24  # per datagram, to stay below 1,200 bytes
--- a/wagtailfork/fleet/messages.py
+++ b/wagtailfork/fleet/messages.py
@@ -8,14 +8,33 @@
 
 from ..core.errors import WagtailforkError
 from ..core.results import ResultCode
+from .load_rows import LoadRow, parse_load_row, render_load_row
 from .member import Member, MemberRow, MemberUpdate
+from .placement_messages import (
+    Placed,
+    PlacementDeclined,
+    PlacementEnded,
+    PlacementQueued,
+    PlacementRequest,
+    parse_declined,
+    parse_ended,
+    parse_placed,
+    parse_queued,
+    parse_request,
+    render_ended,
+    render_request,
+)
 
 _MAX_ERROR_CHARS: Final = 99  # of a decoder error
-_PERCENT: Final = 100
 _HEARTBEAT_KIND: Final = 1
 _LOAD_UPDATE_KIND: Final = 2
 _STRIKE_KIND: Final = 3
 _HEARTBEAT_REQUEST_KIND: Final = 4
+_PLACEMENT_REQUEST_KIND: Final = 5
+_PLACED_KIND: Final = 6
+_PLACEMENT_QUEUED_KIND: Final = 7
+_PLACEMENT_DECLINED_KIND: Final = 8
+_PLACEMENT_ENDED_KIND: Final = 9
 _MEMBER_NUMBERS: Final = slice(4, 9)  # integer fields of a member row
 _UPDATE_FIELD_COUNT: Final = 6
 _READY_FLAG: Final = 1
@@ -37,24 +56,6 @@
     member: Member
 
 
-@attrs.frozen(kw_only=True)
-class LoadRow:
-    """Hold the sender's requests in flight at a server, and its load report.
-
-    ``age_ms`` is negative if there is no load report; ``silent`` is set if the
-    server did not answer a probe.
-    """
-
-    server: str
-    in_flight: int
-    running: int = 0
-    waiting: int = 0
-    slots: int = 0
-    slowness: float = 1.0
-    age_ms: int = -1
-    silent: bool = False
-
-
 @attrs.frozen
 class LoadUpdate:
     """Carry loads of backend servers, to be forwarded if ``relay`` is set."""
@@ -72,7 +73,17 @@
     server: str
 
 
-Message = Heartbeat | HeartbeatRequest | LoadUpdate | Strike
+Message = (
+    Heartbeat
+    | HeartbeatRequest
+    | LoadUpdate
+    | Strike
+    | PlacementRequest
+    | Placed
+    | PlacementQueued
+    | PlacementDeclined
+    | PlacementEnded
+)
 
 
 @singledispatch
@@ -93,7 +104,7 @@
 
 @encode.register
 def _(message: LoadUpdate) -> bytes:
-    rows = [_load_row(row) for row in message.rows]
+    rows = [render_load_row(row) for row in message.rows]
     return cbor2.dumps(
         [_LOAD_UPDATE_KIND, message.sender, message.relay, *rows]
     )
@@ -104,6 +115,38 @@
     return cbor2.dumps([_STRIKE_KIND, message.fingerprint, message.server])
 
 
+@encode.register
+def _(message: PlacementRequest) -> bytes:
+    return cbor2.dumps([_PLACEMENT_REQUEST_KIND, *render_request(message)])
+
+
+@encode.register
+def _(message: Placed) -> bytes:
+    return cbor2.dumps([_PLACED_KIND, message.number, message.server])
+
+
+@encode.register
+def _(message: PlacementQueued) -> bytes:
+    return cbor2.dumps([_PLACEMENT_QUEUED_KIND, message.number])
+
+
+@encode.register
+def _(message: PlacementDeclined) -> bytes:
+    return cbor2.dumps(
+        [
+            _PLACEMENT_DECLINED_KIND,
+            message.number,
+            message.reason,
+            message.retry_after_ms,
+        ]
+    )
+
+
+@encode.register
+def _(message: PlacementEnded) -> bytes:
+    return cbor2.dumps([_PLACEMENT_ENDED_KIND, *render_ended(message)])
+
+
 def decode(raw: bytes) -> Message:
     r"""Decode a datagram or raise ``frame_malformed``.
 
@@ -195,46 +238,10 @@
     )
 
 
-def _load_row(row: LoadRow) -> list[Any]:
-    if row.silent:
-        return [row.server, row.in_flight, -1]
-    if row.age_ms < 0:
-        return [row.server, row.in_flight]
-    return [
-        row.server,
-        row.in_flight,
-        row.running,
-        row.waiting,
-        row.slots,
-        round(row.slowness * _PERCENT),
-        row.age_ms,
-    ]
-
-
-def _parse_load(row: list[Any]) -> LoadRow:
-    server, in_flight, *report = row
-    if not report:
-        return LoadRow(server=str(server), in_flight=int(in_flight))
-    if report[0] < 0:
-        return LoadRow(
-            server=str(server), in_flight=int(in_flight), silent=True
-        )
-    numbers = [int(part) for part in report]
-    return LoadRow(
-        server=str(server),
-        in_flight=int(in_flight),
-        running=numbers[0],
-        waiting=numbers[1],
-        slots=numbers[2],
-        slowness=numbers[3] / _PERCENT,
-        age_ms=numbers[4],
-    )
-
-
 def _parse_load_update(parts: list[Any]) -> LoadUpdate:
     sender, relay, *rows = parts
     return LoadUpdate(
-        str(sender), bool(relay), [_parse_load(row) for row in rows]
+        str(sender), bool(relay), [parse_load_row(row) for row in rows]
     )
 
 
@@ -247,4 +254,9 @@
     ),
     _LOAD_UPDATE_KIND: _parse_load_update,
     _STRIKE_KIND: lambda parts: Strike(int(parts[0]), str(parts[1])),
+    _PLACEMENT_REQUEST_KIND: parse_request,
+    _PLACED_KIND: parse_placed,
+    _PLACEMENT_QUEUED_KIND: parse_queued,
+    _PLACEMENT_DECLINED_KIND: parse_declined,
+    _PLACEMENT_ENDED_KIND: parse_ended,
 }
--- a/wagtailfork/gateway/call.py
+++ b/wagtailfork/gateway/call.py
@@ -59,6 +59,7 @@
     hedge_checks: int = 0
     hedged: bool = False
     candidate: Candidate | None = None
+    coordinator: str = ''  # that placed the last copy; empty if none did
     may_have_run: bool = False
 
     @property
--- a/wagtailfork/gateway/digests.py
+++ b/wagtailfork/gateway/digests.py
@@ -10,10 +10,11 @@
 import attrs
 
 from ..core.clock import now_s
+from ..fleet.load_rows import LoadRow
 from ..fleet.load_sharing import MAX_DATAGRAM_ROWS, make_row
 from ..fleet.member import rendezvous
 from ..fleet.members import Membership
-from ..fleet.messages import LoadRow, LoadUpdate
+from ..fleet.messages import LoadUpdate
 from .backend_registry import BackendRegistry, Topology
 from .fleet_link import FleetLink
 
--- a/wagtailfork/gateway/fleet_link.py
+++ b/wagtailfork/gateway/fleet_link.py
@@ -13,13 +13,28 @@
 from ..fleet.datagrams import Datagrams
 from ..fleet.load_sharing import LoadBatcher
 from ..fleet.members import Membership
-from ..fleet.messages import Heartbeat, HeartbeatRequest, LoadUpdate, Strike
+from ..fleet.messages import (
+    Heartbeat,
+    HeartbeatRequest,
+    LoadUpdate,
+    Message,
+    Strike,
+)
+from ..fleet.placement_messages import (
+    Placed,
+    PlacementDeclined,
+    PlacementEnded,
+    PlacementQueued,
+    PlacementRequest,
+)
 from ..http1.pool import ConnectionPool
 from ..routing.candidate import Candidate
 from ..routing.quarantine import Quarantine
 from .backend_registry import BackendRegistry
 from .heartbeats import ANNOUNCE_FANOUT, Heartbeats
 from .load_receiver import LoadReceiver
+from .placement_client import PlacementClient
+from .placement_coordinator import PlacementCoordinator
 from .snapshot_fetcher import SnapshotFetcher
 from .view import View
 
@@ -43,6 +58,8 @@
     backends: BackendRegistry
     pool: ConnectionPool
     quarantine: Quarantine
+    placer: PlacementClient
+    coordinator: PlacementCoordinator
     is_ready: Callable[[], bool]
     reads_store: Callable[[], bool]
     heartbeats: Heartbeats = attrs.field(init=False)
@@ -89,8 +106,8 @@
         """Return whether neighbours send each other their loads."""
         return len(self.membership.neighbours()) <= MAX_SHARING_NEIGHBOURS
 
-    def send(self, message: LoadUpdate, addresses: list[str]) -> None:
-        """Send load rows to some VMs."""
+    def send(self, message: Message, addresses: list[str]) -> None:
+        """Send a message to some VMs."""
         self._datagrams.send(message, addresses)
 
     def load_changed(
@@ -142,6 +159,22 @@
         fingerprint = f'{message.fingerprint:08x}'
         self.quarantine.strike(fingerprint, message.server, now_s())
 
+    @_receive.register
+    def _(self, message: PlacementRequest) -> None:
+        self.coordinator.handle_request(message)
+
+    @_receive.register
+    def _(self, message: PlacementEnded) -> None:
+        self.coordinator.handle_ended(message)
+
+    @_receive.register(Placed)
+    @_receive.register(PlacementQueued)
+    @_receive.register(PlacementDeclined)
+    def _on_placement(
+        self, message: Placed | PlacementQueued | PlacementDeclined
+    ) -> None:
+        self.placer.handle_response(message)
+
     def _send_to_all(self, message: Strike) -> None:
         recipients = [one.address for one in self.membership.alive(now_s())]
         self._datagrams.send(message, recipients)
--- a/wagtailfork/gateway/load_receiver.py
+++ b/wagtailfork/gateway/load_receiver.py
@@ -3,9 +3,10 @@
 import attrs
 
 from ..core.clock import now_s
+from ..fleet.load_rows import LoadRow
 from ..fleet.load_sharing import parse_report
 from ..fleet.members import Membership
-from ..fleet.messages import LoadRow, LoadUpdate
+from ..fleet.messages import LoadUpdate
 from ..http1.pool import ConnectionPool
 from ..routing.candidate import Candidate
 from .backend_registry import BackendRegistry
--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -14,6 +14,7 @@
 from ..fleet.addresses import choose_addresses
 from ..fleet.member import Member
 from ..fleet.members import Membership
+from ..fleet.messages import Message
 from ..http1.pool import ConnectionPool
 from ..http1.request import Limits
 from ..http1.server import CallerServer
@@ -29,6 +30,8 @@
 from .fleet_link import FleetLink
 from .forwarder import Forwarder
 from .meters import Meters
+from .placement_client import PlacementClient
+from .placement_coordinator import PlacementCoordinator
 from .prober import Prober
 from .reader_election import ReaderElection
 from .responder import Responder
@@ -80,6 +83,16 @@
             adapter.decode_server,
             self._on_view_changed,
         )
+        self.coordinator = PlacementCoordinator(
+            self.backends.queue, self._send_to_vms
+        )
+        self.placer = PlacementClient(
+            membership=self.membership,
+            shares_loads=self._shares_loads,
+            find=self.backends.candidate,
+            send=self._send_to_vms,
+            log=self.log,
+        )
         self.ledger = Ledger(
             cfg.vm,
             str(self.membership.me.incarnation),
@@ -198,6 +211,7 @@
     def _make_sender(self) -> Sender:
         return Sender(
             pool=self.pool,
+            placer=self.placer,
             dialect=self.adapter.dialect,
             log=self.log,
             load_changed=self._load_changed,
@@ -216,6 +230,8 @@
             backends=self.backends,
             pool=self.pool,
             quarantine=self.forwarder.quarantine,
+            placer=self.placer,
+            coordinator=self.coordinator,
             is_ready=self.is_ready,
             reads_store=self._reads_store,
         )
@@ -267,15 +283,15 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self.pool.sweep()
             self.membership.remove_expired(now_s())
-            near = self.membership.region_count(now_s())
             for queue in self.backends.queues.values():
-                queue.sharing_vms = near
+                queue.sharing_vms = self._count_sharing(queue.service)
                 queue.dispatch()
 
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             self.view.remove_expired(now_s())
+            self.coordinator.remove_expired(now_s())
             self.log.flush()
 
     # Callbacks between the parts.
@@ -296,6 +312,22 @@
     async def _refresh_load(self, candidate: Candidate) -> bool:
         return await self.prober.refresh_load(candidate)
 
+    def _count_sharing(self, service: str) -> int:
+        """Count the queues of the region that share a service's servers."""
+        now = now_s()
+        me = self.membership.me
+        if self.placer.coordinator_of(service) != me.address:
+            return self.membership.region_count(now)
+        domains = {
+            one.failure_domain
+            for one in self.membership.alive(now)
+            if one.region == me.region
+        }
+        return len(domains | {me.failure_domain})
+
+    def _send_to_vms(self, message: Message, addresses: list[str]) -> None:
+        self.link.send(message, addresses)
+
     def _shares_loads(self) -> bool:
         return self.link.shares_loads
 
--- /dev/null
+++ b/wagtailfork/gateway/placement_client.py
@@ -0,0 +1,238 @@
+"""Obtain a server for each request, from the coordinator of its service.
+
+A coordinator that does not respond costs no request: the VM then chooses a
+server itself, and does so for a while before it asks that coordinator again.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from ..core.clock import now_s
+from ..core.event_log import EventLog
+from ..fleet.load_sharing import make_row
+from ..fleet.member import rendezvous
+from ..fleet.members import Membership
+from ..fleet.messages import Message
+from ..fleet.placement_messages import (
+    Outcome,
+    Placed,
+    PlacementDeclined,
+    PlacementEnded,
+    PlacementQueued,
+    PlacementRequest,
+)
+from ..routing.candidate import Candidate
+from ..routing.late_binding import ServiceQueue
+from ..routing.queued_request import QueuedRequest, Refused
+
+# Fifty round trips within a domain, and longer than the pause of a VM that has
+# used up its share of a core for the present tenth of a second.
+RESPONSE_TIMEOUT_S: Final = 0.08
+QUEUED_POLL_S: Final = 0.15  # asks whether a queued request is still queued
+SILENCE_S: Final = 0.5  # for which a silent coordinator is not asked
+REPEAT_DELAY_S: Final = 0.06  # a returned slot is reported twice
+NUMBER_BITS: Final = 40  # so that a restarted VM uses other numbers
+_NO_SERVER: Final = 'no_server'
+_MS: Final = 1000
+
+Send = Callable[[Message, list[str]], None]
+
+
+@attrs.define(eq=False)
+class Placement:
+    """Hold a slot of a server; ``coordinator`` is empty for an own choice."""
+
+    candidate: Candidate
+    coordinator: str = ''
+    number: int = 0
+
+
+@attrs.define(eq=False)
+class _Waiter:
+    """Collect the responses to one placement request."""
+
+    responses: 'asyncio.Queue[Message]' = attrs.field(factory=asyncio.Queue)
+
+
+@attrs.define(eq=False, kw_only=True)
+class PlacementClient:
+    """Place requests through coordinators, or by an own choice."""
+
+    membership: Membership
+    shares_loads: Callable[[], bool]
+    find: Callable[[str], Candidate | None]  # a server by its name
+    send: Send
+    log: EventLog
+    _waiters: dict[int, _Waiter] = attrs.field(factory=dict)
+    _silent_until_s: dict[str, float] = attrs.field(factory=dict)
+    _last_number: int = attrs.field(
+        factory=lambda: random.getrandbits(NUMBER_BITS)  # noqa: S311
+    )
+
+    def coordinator_of(self, service: str) -> str:
+        """Return the coordinator of a service, empty if there is none.
+
+        Small domains have none: their VMs report each request to all others.
+        """
+        if self.shares_loads():
+            return ''
+        me = self.membership.me
+        ready = [
+            one.address for one in self.membership.neighbours() if one.ready
+        ]
+        if me.ready:
+            ready.append(me.address)
+        return rendezvous(service, ready) or ''
+
+    async def place(
+        self, queue: ServiceQueue, queued: QueuedRequest
+    ) -> Placement:
+        """Wait for a slot of a server; raise ``Refused`` if there is none."""
+        coordinator = self.coordinator_of(queue.service)
+        if self._is_remote(coordinator):
+            placement = await self._place_remotely(coordinator, queue, queued)
+            if placement is not None:
+                return placement
+        return Placement(await queue.acquire(queued))
+
+    def end(
+        self, placement: Placement, queue: ServiceQueue, outcome: Outcome
+    ) -> None:
+        """Free the slot and report the newest load of the server."""
+        candidate = placement.candidate
+        queue.release(candidate)
+        if not placement.coordinator:
+            return
+        row = make_row(candidate.name, candidate.load, now_s())
+        ended = PlacementEnded(
+            sender=self.membership.me.address,
+            number=placement.number,
+            outcome=outcome,
+            load=row,
+        )
+        recipients = [placement.coordinator]
+        self.send(ended, recipients)
+        loop = asyncio.get_running_loop()
+        repeated = attrs.evolve(ended, load=None)
+        loop.call_later(REPEAT_DELAY_S, self.send, repeated, recipients)
+
+    def handle_response(
+        self, message: Placed | PlacementQueued | PlacementDeclined
+    ) -> bool:
+        """Pass a response to its request; return whether one waits for it."""
+        waiter = self._waiters.get(message.number)
+        if waiter is None:
+            return False
+        waiter.responses.put_nowait(message)
+        return True
+
+    def _is_remote(self, coordinator: str) -> bool:
+        if coordinator in {'', self.membership.me.address}:
+            return False
+        return now_s() >= self._silent_until_s.get(coordinator, 0)
+
+    async def _place_remotely(
+        self, coordinator: str, queue: ServiceQueue, queued: QueuedRequest
+    ) -> Placement | None:
+        """Return the placement, or None if the VM has to choose itself."""
+        self._last_number += 1
+        number = self._last_number
+        waiter = _Waiter()
+        self._waiters[number] = waiter
+        placement = None
+        try:
+            placement = await self._negotiate(
+                coordinator, number, queue.service, queued, waiter
+            )
+        finally:
+            self._waiters.pop(number)
+            if placement is None:
+                self._withdraw(coordinator, number)
+        return placement
+
+    async def _negotiate(
+        self,
+        coordinator: str,
+        number: int,
+        service: str,
+        queued: QueuedRequest,
+        waiter: _Waiter,
+    ) -> Placement | None:
+        while True:
+            request = _request(
+                self.membership.me.address, number, service, queued
+            )
+            self.send(request, [coordinator])
+            try:
+                async with asyncio.timeout(RESPONSE_TIMEOUT_S):
+                    response = await waiter.responses.get()
+            except TimeoutError:
+                self._record_silence(coordinator, service)
+                return None
+            if isinstance(response, PlacementQueued):
+                decision = await _next_response(waiter)
+                if decision is None:
+                    continue
+                response = decision
+            if isinstance(response, Placed):
+                return self._accept(coordinator, response, queued)
+            if isinstance(response, PlacementDeclined):
+                if response.reason == _NO_SERVER:
+                    return None
+                raise Refused(response.reason, response.retry_after_ms / _MS)
+
+    def _accept(
+        self, coordinator: str, response: Placed, queued: QueuedRequest
+    ) -> Placement | None:
+        """Check a granted server against this VM's own table of servers."""
+        candidate = self.find(response.server)
+        if candidate is None or candidate.draining:
+            return None
+        if candidate.name in queued.excluded:
+            return None
+        candidate.load.begin()
+        return Placement(candidate, coordinator, response.number)
+
+    def _withdraw(self, coordinator: str, number: int) -> None:
+        ended = PlacementEnded(sender=self.membership.me.address, number=number)
+        self.send(ended, [coordinator])
+
+    def _record_silence(self, coordinator: str, service: str) -> None:
+        self._silent_until_s[coordinator] = now_s() + SILENCE_S
+        self.log.emit(
+            'coordinator_silent', service=service, coordinator=coordinator
+        )
+
+
+async def _next_response(waiter: _Waiter) -> Message | None:
+    """Wait for a decision; return None when it is time to ask again."""
+    try:
+        async with asyncio.timeout(QUEUED_POLL_S):
+            while True:
+                response = await waiter.responses.get()
+                if not isinstance(response, PlacementQueued):
+                    return response
+    except TimeoutError:
+        return None
+
+
+def _request(
+    sender: str, number: int, service: str, queued: QueuedRequest
+) -> PlacementRequest:
+    now = now_s()
+    return PlacementRequest(
+        sender=sender,
+        number=number,
+        service=service,
+        rank=queued.rank,
+        age_ms=round((now - queued.arrived_s) * _MS),
+        objective_ms=round((queued.objective_at_s - now) * _MS),
+        deadline_ms=round((queued.deadline_at_s - now) * _MS),
+        service_ms=queued.service_s * _MS,
+        kilobytes=round(queued.kilobytes),
+        excluded=tuple(sorted(queued.excluded)),
+    )
--- /dev/null
+++ b/wagtailfork/gateway/placement_coordinator.py
@@ -0,0 +1,171 @@
+"""Place requests of other VMs of the failure domain on backend servers.
+
+In a large failure domain each VM sees too few requests to know the load of the
+servers. One VM coordinates each service: it queues and places the requests of
+all, so it knows what is in flight at each server. Its state is soft: a new
+coordinator learns the loads from probes, and a slot whose return is lost
+becomes free at the deadline of its request.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from ..core.clock import now_s
+from ..fleet.load_rows import LoadRow
+from ..fleet.load_sharing import parse_report
+from ..fleet.messages import Message
+from ..fleet.placement_messages import (
+    Outcome,
+    Placed,
+    PlacementDeclined,
+    PlacementEnded,
+    PlacementQueued,
+    PlacementRequest,
+)
+from ..routing.candidate import Candidate
+from ..routing.late_binding import ServiceQueue
+from ..routing.load import ServerLoad
+from ..routing.queued_request import QueuedRequest, Refused
+
+QUEUED_NOTICE_S: Final = 0.01  # later than most placements
+LEASE_MARGIN_S: Final = 0.5  # beyond the deadline of a request
+MAX_PLACEMENTS: Final = 5000  # bounds the memory, at some 2 KB each
+_MS: Final = 1000
+
+Send = Callable[[Message, list[str]], None]
+_Key = tuple[str, int]  # address of the VM, number of the placement
+
+
+@attrs.define(eq=False)
+class _Placement:
+    """Hold one placement; the candidate is set once a slot is granted."""
+
+    queue: ServiceQueue
+    expires_at_s: float
+    task: 'asyncio.Task[None] | None' = None
+    candidate: Candidate | None = None
+
+
+@attrs.define(eq=False)
+class PlacementCoordinator:
+    """Queue and place requests of other VMs, and take slots back."""
+
+    queue_of: Callable[[str], ServiceQueue]
+    send: Send
+    _placements: dict[_Key, _Placement] = attrs.field(factory=dict)
+
+    @property
+    def size(self) -> int:
+        """Count the placements that are queued or in use."""
+        return len(self._placements)
+
+    def handle_request(self, message: PlacementRequest) -> None:
+        """Place a request, or repeat the response to it."""
+        key = (message.sender, message.number)
+        placement = self._placements.get(key)
+        if placement is None:
+            self._start(key, message)
+        elif placement.candidate is None:
+            self.send(PlacementQueued(message.number), [message.sender])
+        else:
+            granted = Placed(message.number, placement.candidate.name)
+            self.send(granted, [message.sender])
+
+    def handle_ended(self, message: PlacementEnded) -> None:
+        """Take a slot back, or remove a request from the queue."""
+        key = (message.sender, message.number)
+        placement = self._placements.get(key)
+        if placement is None:
+            return
+        candidate = placement.candidate
+        if candidate is not None:
+            now = now_s()
+            if message.load is not None:
+                _record_load(candidate, message.load, now)
+            _record_outcome(candidate.load, message.outcome, now)
+        self._release(key)
+
+    def remove_expired(self, now: float) -> None:
+        """Free the slots whose return was lost."""
+        expired = [
+            key
+            for key, placement in self._placements.items()
+            if now >= placement.expires_at_s
+        ]
+        for key in expired:
+            self._release(key)
+
+    def _start(self, key: _Key, message: PlacementRequest) -> None:
+        sender = [message.sender]
+        if len(self._placements) >= MAX_PLACEMENTS:
+            self.send(
+                PlacementDeclined(message.number, 'queue_full', 0), sender
+            )
+            return
+        queued = _queued_request(message, now_s())
+        placement = _Placement(
+            self.queue_of(message.service),
+            queued.deadline_at_s + LEASE_MARGIN_S,
+        )
+        self._placements[key] = placement
+        placement.task = asyncio.create_task(
+            self._place(key, placement, queued)
+        )
+
+    async def _place(
+        self, key: _Key, placement: _Placement, queued: QueuedRequest
+    ) -> None:
+        sender, number = key
+        notice = asyncio.get_running_loop().call_later(
+            QUEUED_NOTICE_S, self.send, PlacementQueued(number), [sender]
+        )
+        try:
+            candidate = await placement.queue.acquire(queued)
+        except Refused as exc:
+            self._placements.pop(key, None)
+            retry_ms = round(exc.retry_after_s * _MS)
+            self.send(PlacementDeclined(number, exc.reason, retry_ms), [sender])
+            return
+        finally:
+            notice.cancel()
+        if self._placements.get(key) is not placement:
+            # Ended while the server was being probed.
+            placement.queue.release(candidate)
+            return
+        placement.candidate = candidate
+        self.send(Placed(number, candidate.name), [sender])
+
+    def _release(self, key: _Key) -> None:
+        placement = self._placements.pop(key)
+        if placement.candidate is not None:
+            placement.queue.release(placement.candidate)
+        elif placement.task is not None:
+            placement.task.cancel()
+
+
+def _queued_request(message: PlacementRequest, now: float) -> QueuedRequest:
+    return QueuedRequest(
+        rank=message.rank,
+        objective_at_s=now + message.objective_ms / _MS,
+        deadline_at_s=now + message.deadline_ms / _MS,
+        service_s=message.service_ms / _MS,
+        kilobytes=message.kilobytes,
+        excluded=set(message.excluded),
+        arrived_s=now - message.age_ms / _MS,
+    )
+
+
+def _record_load(candidate: Candidate, row: LoadRow, now: float) -> None:
+    report = parse_report(row, now)
+    if report is not None and row.server == candidate.name:
+        candidate.load.record_report(report)
+
+
+def _record_outcome(load: ServerLoad, outcome: Outcome, now: float) -> None:
+    if outcome is Outcome.unreachable:
+        load.eject(now)
+    elif outcome is not Outcome.unknown:
+        load.record_outcome(now, failed=outcome is Outcome.failed)
--- a/wagtailfork/gateway/sender.py
+++ b/wagtailfork/gateway/sender.py
@@ -9,6 +9,7 @@
 
 from ..core.clock import now_s
 from ..core.event_log import EventLog
+from ..fleet.placement_messages import Outcome
 from ..http1.backend import BackendConnection
 from ..http1.pool import ConnectionPool
 from ..http1.responses import BackendResponse, RequestNotSent, ResponseError
@@ -18,11 +19,13 @@
 from ..routing.work_time import ServiceTimes
 from .call import Call, SendResult
 from .dialect import Dialect, ResponseMetadata
+from .placement_client import Placement, PlacementClient
 
 CONNECT_TIMEOUT_S: Final = 0.4  # six round trips between regions
 _SERVER_ERROR: Final = 500
 _SUCCESS: Final = frozenset(range(200, 300))  # noqa: WPS432
 _MIN_TIMEOUT_S: Final = 0.001
+_UNREACHABLE_REASONS: Final = frozenset(('connect_failed', 'other_server'))
 
 LoadChanged = Callable[[Candidate], None]
 # Records a finished send: call, server, outcome, size of the response body.
@@ -34,6 +37,7 @@
     """Select a server for a request, send it and classify the result."""
 
     pool: ConnectionPool
+    placer: PlacementClient
     dialect: Dialect
     log: EventLog
     load_changed: LoadChanged
@@ -46,16 +50,26 @@
         call.tries += 1
         call.queued.on_queued = functools.partial(self._log_queued, call)
         try:
-            candidate = await call.queue.acquire(call.queued)
+            placement = await self.placer.place(call.queue, call.queued)
         except Refused as exc:
             return SendResult(reason=exc.reason, refusal=exc)
+        return await self._use_placement(call, placement)
+
+    async def _use_placement(
+        self, call: Call, placement: Placement
+    ) -> SendResult:
+        candidate = placement.candidate
+        call.coordinator = placement.coordinator
         call.queued.excluded.add(candidate.name)
         self.load_changed(candidate)
+        outcome = Outcome.unknown
         try:
-            return await self._send_to_server(call, candidate)
+            result = await self._send_to_server(call, candidate)
+            outcome = _outcome_of(result)
         finally:
-            call.queue.release(candidate)
+            self.placer.end(placement, call.queue, outcome)
             self.load_changed(candidate)
+        return result
 
     async def _send_to_server(
         self, call: Call, candidate: Candidate
@@ -113,6 +127,7 @@
             told_ms_ago=candidate.load.report_age_ms(started_s),
             waited_ms=(started_s - req.arrived_s) * 1000,
             attempt=call.sends,
+            coordinator=call.coordinator or 'none',
         )
         slowness = candidate.load.slowness(started_s)
         full = _is_full(candidate, started_s)
@@ -233,6 +248,15 @@
         candidate.load.record_outcome(now, failed=failed)
 
 
+def _outcome_of(result: SendResult) -> Outcome:
+    """Return what the attempt tells about the server."""
+    if result.reason in _UNREACHABLE_REASONS:
+        return Outcome.unreachable
+    if not result.delivered:
+        return Outcome.unknown
+    return Outcome.succeeded if result.usable else Outcome.failed
+
+
 def _outcome(result: SendResult) -> str:
     if result.response is not None:
         return 'ran'
--- a/wagtailfork/routing/late_binding.py
+++ b/wagtailfork/routing/late_binding.py
@@ -21,6 +21,9 @@
 MAX_BIND_FAILURES: Final = 2
 # Far below service times; merges bursts of load reports into one pass.
 DISPATCH_DELAY_S: Final = 0.004
+# While requests wait. Estimates of load decay, and servers are also used by
+# other failure domains, so a slot may become free without any event here.
+RECHECK_INTERVAL_S: Final = 0.05
 NO_SERVER_RETRY_AFTER_S: Final = 0.5
 MAX_QUEUED_REQUESTS: Final = 400  # bounds the duration of one pass
 INITIAL_IDLE_S: Final = 3600.0  # assumed age of the last request at the start
@@ -47,6 +50,7 @@
     sharing_vms: int = 1  # VMs that send to these servers, this one included
     last_request_at_s: float = -INITIAL_IDLE_S
     _dispatch_timer: asyncio.TimerHandle | None = None
+    _recheck_timer: asyncio.TimerHandle | None = None
     _waiting: list[QueuedRequest] = attrs.field(factory=list)
 
     @property
@@ -88,6 +92,17 @@
         self._dispatch_timer = None
         self.dispatch()
 
+    def _schedule_recheck(self) -> None:
+        if not self._waiting or self._recheck_timer is not None:
+            return
+        loop = asyncio.get_running_loop()
+        self._recheck_timer = loop.call_later(RECHECK_INTERVAL_S, self._recheck)
+
+    def _recheck(self) -> None:
+        self._recheck_timer = None
+        self.dispatch()
+        self._schedule_recheck()
+
     def dispatch(self) -> None:
         """Bind queued requests to free servers, the most urgent first."""
         if not self._waiting:
@@ -163,6 +178,7 @@
         queued.server_fut = fut
         queued.on_queued(len(self._waiting))
         self._waiting.append(queued)
+        self._schedule_recheck()
         try:
             candidate: Candidate = await fut
         except asyncio.CancelledError:
