Prefer servers to which the VM of a request is connected

A VM now names up to 12 servers to which it has an idle connection. The messages' wire form has a module of its own.

--- a/wagtailfork/fleet/messages.py
+++ b/wagtailfork/fleet/messages.py
@@ -10,31 +10,14 @@
 from ..core.results import ResultCode
 from .load_rows import LoadRow, parse_load_row, render_load_row
 from .member import Member, MemberRow, MemberUpdate
-from .placement_messages import (
-    Placed,
-    PlacementDeclined,
-    PlacementEnded,
-    PlacementQueued,
-    PlacementRequest,
-    parse_declined,
-    parse_ended,
-    parse_placed,
-    parse_queued,
-    parse_request,
-    render_ended,
-    render_request,
-)
+from .placement_codec import PLACEMENT_PARSERS, render_placement
+from .placement_messages import PlacementMessage
 
 _MAX_ERROR_CHARS: Final = 99  # of a decoder error
 _HEARTBEAT_KIND: Final = 1
 _LOAD_UPDATE_KIND: Final = 2
 _STRIKE_KIND: Final = 3
 _HEARTBEAT_REQUEST_KIND: Final = 4
-_PLACEMENT_REQUEST_KIND: Final = 5
-_PLACED_KIND: Final = 6
-_PLACEMENT_QUEUED_KIND: Final = 7
-_PLACEMENT_DECLINED_KIND: Final = 8
-_PLACEMENT_ENDED_KIND: Final = 9
 _MEMBER_NUMBERS: Final = slice(4, 9)  # integer fields of a member row
 _UPDATE_FIELD_COUNT: Final = 6
 _READY_FLAG: Final = 1
@@ -73,17 +56,7 @@
     server: str
 
 
-Message = (
-    Heartbeat
-    | HeartbeatRequest
-    | LoadUpdate
-    | Strike
-    | PlacementRequest
-    | Placed
-    | PlacementQueued
-    | PlacementDeclined
-    | PlacementEnded
-)
+Message = Heartbeat | HeartbeatRequest | LoadUpdate | Strike | PlacementMessage
 
 
 @singledispatch
@@ -116,35 +89,8 @@
 
 
 @encode.register
-def _(message: PlacementRequest) -> bytes:
-    return cbor2.dumps([_PLACEMENT_REQUEST_KIND, *render_request(message)])
-
-
-@encode.register
-def _(message: Placed) -> bytes:
-    return cbor2.dumps([_PLACED_KIND, message.number, message.server])
-
-
-@encode.register
-def _(message: PlacementQueued) -> bytes:
-    return cbor2.dumps([_PLACEMENT_QUEUED_KIND, message.number])
-
-
-@encode.register
-def _(message: PlacementDeclined) -> bytes:
-    return cbor2.dumps(
-        [
-            _PLACEMENT_DECLINED_KIND,
-            message.number,
-            message.reason,
-            message.retry_after_ms,
-        ]
-    )
-
-
-@encode.register
-def _(message: PlacementEnded) -> bytes:
-    return cbor2.dumps([_PLACEMENT_ENDED_KIND, *render_ended(message)])
+def _(message: PlacementMessage) -> bytes:
+    return cbor2.dumps(render_placement(message))
 
 
 def decode(raw: bytes) -> Message:
@@ -254,9 +200,5 @@
     ),
     _LOAD_UPDATE_KIND: _parse_load_update,
     _STRIKE_KIND: lambda parts: Strike(int(parts[0]), str(parts[1])),
-    _PLACEMENT_REQUEST_KIND: parse_request,
-    _PLACED_KIND: parse_placed,
-    _PLACEMENT_QUEUED_KIND: parse_queued,
-    _PLACEMENT_DECLINED_KIND: parse_declined,
-    _PLACEMENT_ENDED_KIND: parse_ended,
+    **PLACEMENT_PARSERS,
 }
--- /dev/null
+++ b/wagtailfork/fleet/placement_codec.py
@@ -0,0 +1,139 @@
+"""Wire form of the messages between a VM and a coordinator."""
+
+from functools import singledispatch
+from typing import Any, Final
+
+from .load_rows import parse_load_row, render_load_row
+from .placement_messages import (
+    Outcome,
+    Placed,
+    PlacementDeclined,
+    PlacementEnded,
+    PlacementMessage,
+    PlacementQueued,
+    PlacementRequest,
+)
+
+_US_PER_MS: Final = 1000
+_REQUEST_KIND: Final = 5
+_PLACED_KIND: Final = 6
+_QUEUED_KIND: Final = 7
+_DECLINED_KIND: Final = 8
+_ENDED_KIND: Final = 9
+_FIGURES: Final = slice(3, 9)  # integer fields of a request
+
+
+@singledispatch
+def render_placement(message: PlacementMessage) -> list[Any]:
+    """Return the wire form of a message, its kind first."""
+    raise TypeError(f'no wire form of {type(message).__name__}')
+
+
+@render_placement.register
+def _(message: PlacementRequest) -> list[Any]:
+    return [
+        _REQUEST_KIND,
+        message.sender,
+        message.number,
+        message.service,
+        message.rank,
+        message.age_ms,
+        message.objective_ms,
+        message.deadline_ms,
+        round(message.service_ms * _US_PER_MS),
+        message.kilobytes,
+        message.excluded,
+        message.connected,
+    ]
+
+
+@render_placement.register
+def _(message: Placed) -> list[Any]:
+    return [_PLACED_KIND, message.number, message.server]
+
+
+@render_placement.register
+def _(message: PlacementQueued) -> list[Any]:
+    return [_QUEUED_KIND, message.number]
+
+
+@render_placement.register
+def _(message: PlacementDeclined) -> list[Any]:
+    return [
+        _DECLINED_KIND,
+        message.number,
+        message.reason,
+        message.retry_after_ms,
+    ]
+
+
+@render_placement.register
+def _(message: PlacementEnded) -> list[Any]:
+    row = [] if message.load is None else render_load_row(message.load)
+    return [
+        _ENDED_KIND,
+        message.sender,
+        message.number,
+        int(message.outcome),
+        *row,
+    ]
+
+
+def _parse_request(parts: list[Any]) -> PlacementRequest:
+    figures = [int(part) for part in parts[_FIGURES]]
+    return PlacementRequest(
+        sender=_text(parts[0]),
+        number=int(parts[1]),
+        service=_text(parts[2]),
+        rank=figures[0],
+        age_ms=figures[1],
+        objective_ms=figures[2],
+        deadline_ms=figures[3],
+        service_ms=figures[4] / _US_PER_MS,
+        kilobytes=figures[5],
+        excluded=_texts(parts[-2]),
+        connected=_texts(parts[-1]),
+    )
+
+
+def _parse_placed(parts: list[Any]) -> Placed:
+    return Placed(int(parts[0]), _text(parts[1]))
+
+
+def _parse_queued(parts: list[Any]) -> PlacementQueued:
+    return PlacementQueued(int(parts[0]))
+
+
+def _parse_declined(parts: list[Any]) -> PlacementDeclined:
+    return PlacementDeclined(int(parts[0]), _text(parts[1]), int(parts[2]))
+
+
+def _parse_ended(parts: list[Any]) -> PlacementEnded:
+    sender, number, outcome, *row = parts
+    return PlacementEnded(
+        sender=_text(sender),
+        number=int(number),
+        outcome=Outcome(outcome),
+        load=parse_load_row(row) if row else None,
+    )
+
+
+def _text(field: Any) -> str:
+    if not isinstance(field, str):
+        raise TypeError(f'{field!r} is not a text')
+    return field
+
+
+def _texts(fields: Any) -> tuple[str, ...]:
+    if not isinstance(fields, list):
+        raise TypeError(f'{fields!r} is not a list')
+    return tuple(_text(field) for field in fields)
+
+
+PLACEMENT_PARSERS: Final[dict[int, Any]] = {
+    _REQUEST_KIND: _parse_request,
+    _PLACED_KIND: _parse_placed,
+    _QUEUED_KIND: _parse_queued,
+    _DECLINED_KIND: _parse_declined,
+    _ENDED_KIND: _parse_ended,
+}
--- a/wagtailfork/gateway/placement_client.py
+++ b/wagtailfork/gateway/placement_client.py
@@ -35,6 +35,7 @@
 QUEUED_POLL_S: Final = 0.15  # asks whether a queued request is still queued
 SILENCE_S: Final = 0.5  # for which a silent coordinator is not asked
 REPEAT_DELAY_S: Final = 0.06  # a returned slot is reported twice
+MAX_CONNECTED: Final = 12  # named in a request, some 10 bytes each
 NUMBER_BITS: Final = 40  # so that a restarted VM uses other numbers
 _NO_SERVER: Final = 'no_server'
 _MS: Final = 1000
@@ -146,7 +147,7 @@
         placement = None
         try:
             placement = await self._negotiate(
-                coordinator, number, queue.service, queued, waiter
+                coordinator, number, queue, queued, waiter
             )
         finally:
             self._waiters.pop(number)
@@ -158,32 +159,36 @@
         self,
         coordinator: str,
         number: int,
-        service: str,
+        queue: ServiceQueue,
         queued: QueuedRequest,
         waiter: _Waiter,
     ) -> Placement | None:
-        while True:
+        """Request a server until there is a decision; None after silence."""
+        decision: Message | None = None
+        while decision is None:
             request = _request(
-                self.membership.me.address, number, service, queued
+                self.membership.me.address, number, queue, queued
             )
             self.send(request, [coordinator])
             try:
                 async with asyncio.timeout(RESPONSE_TIMEOUT_S):
-                    response = await waiter.responses.get()
+                    decision = await waiter.responses.get()
             except TimeoutError:
-                self._record_silence(coordinator, service)
+                self._record_silence(coordinator, queue.service)
                 return None
-            if isinstance(response, PlacementQueued):
-                decision = await _next_response(waiter)
-                if decision is None:
-                    continue
-                response = decision
-            if isinstance(response, Placed):
-                return self._accept(coordinator, response, queued)
-            if isinstance(response, PlacementDeclined):
-                if response.reason == _NO_SERVER:
-                    return None
-                raise Refused(response.reason, response.retry_after_ms / _MS)
+            if isinstance(decision, PlacementQueued):
+                decision = await _next_decision(waiter)
+        return self._apply_decision(coordinator, decision, queued)
+
+    def _apply_decision(
+        self, coordinator: str, decision: Message, queued: QueuedRequest
+    ) -> Placement | None:
+        if isinstance(decision, Placed):
+            return self._accept(coordinator, decision, queued)
+        if isinstance(decision, PlacementDeclined):
+            if decision.reason != _NO_SERVER:
+                raise Refused(decision.reason, decision.retry_after_ms / _MS)
+        return None
 
     def _accept(
         self, coordinator: str, response: Placed, queued: QueuedRequest
@@ -208,8 +213,8 @@
         )
 
 
-async def _next_response(waiter: _Waiter) -> Message | None:
-    """Wait for a decision; return None when it is time to ask again."""
+async def _next_decision(waiter: _Waiter) -> Message | None:
+    """Wait for the decision; return None when it is time to ask again."""
     try:
         async with asyncio.timeout(QUEUED_POLL_S):
             while True:
@@ -221,13 +226,13 @@
 
 
 def _request(
-    sender: str, number: int, service: str, queued: QueuedRequest
+    sender: str, number: int, queue: ServiceQueue, queued: QueuedRequest
 ) -> PlacementRequest:
     now = now_s()
     return PlacementRequest(
         sender=sender,
         number=number,
-        service=service,
+        service=queue.service,
         rank=queued.rank,
         age_ms=round((now - queued.arrived_s) * _MS),
         objective_ms=round((queued.objective_at_s - now) * _MS),
@@ -235,4 +240,5 @@
         service_ms=queued.service_s * _MS,
         kilobytes=round(queued.kilobytes),
         excluded=tuple(sorted(queued.excluded)),
+        connected=queue.table.connected(now, MAX_CONNECTED),
     )
--- a/wagtailfork/gateway/placement_coordinator.py
+++ b/wagtailfork/gateway/placement_coordinator.py
@@ -154,6 +154,7 @@
         service_s=message.service_ms / _MS,
         kilobytes=message.kilobytes,
         excluded=set(message.excluded),
+        connected=frozenset(message.connected),
         arrived_s=now - message.age_ms / _MS,
     )
 
--- a/wagtailfork/gateway/tests/test_placements.py
+++ b/wagtailfork/gateway/tests/test_placements.py
@@ -13,7 +13,7 @@
 
 from ...bench.virtual import VirtualLoop
 from ...core.event_log import EventLog
-from ...fleet.member import Member
+from ...fleet.member import Member, MemberRow
 from ...fleet.members import Membership
 from ...fleet.messages import Message, decode, encode
 from ...fleet.placement_messages import (
@@ -162,7 +162,9 @@
         members = [_member(number) for number in range(VMS)]
         for member in members:
             membership = Membership(member)
-            others = [one for one in members if one is not member]
+            others: list[MemberRow] = [
+                one for one in members if one is not member
+            ]
             membership.merge(others, 0)
             self.vms[member.address] = Vm(self, membership)
             self.latencies_s[member.address] = []
--- a/wagtailfork/routing/queued_request.py
+++ b/wagtailfork/routing/queued_request.py
@@ -27,6 +27,9 @@
     service_s: float
     kilobytes: float = 1.0
     excluded: set[str] = attrs.field(factory=set)
+    # Servers to which the VM of the request has an idle connection; None if
+    # that is this VM, whose connections the candidates record.
+    connected: frozenset[str] | None = None
     server_fut: 'asyncio.Future[Candidate] | None' = None
     arrived_s: float = attrs.field(factory=now_s)
     # Called with the number of requests queued before this one.
@@ -36,6 +39,12 @@
         """Return the seconds until the latency objective."""
         return self.objective_at_s - now
 
+    def is_connected(self, candidate: Candidate, now: float) -> bool:
+        """Return whether the request needs no new connection to a server."""
+        if self.connected is None:
+            return now < candidate.connected_until_s
+        return candidate.name in self.connected
+
     def may_wait(self, now: float, *, others: bool) -> bool:
         """Return whether to wait, given whether ``others`` can be in time."""
         if others and self.left_s(now) < self.service_s:
--- a/wagtailfork/routing/server_table.py
+++ b/wagtailfork/routing/server_table.py
@@ -64,6 +64,15 @@
                 return True
         return False
 
+    def connected(self, now: float, limit: int) -> tuple[str, ...]:
+        """Name servers with an idle connection, the longest usable first."""
+        names = [
+            (candidate.connected_until_s, name)
+            for name, candidate in self.servers.items()
+            if now < candidate.connected_until_s
+        ]
+        return tuple(name for _, name in sorted(names, reverse=True)[:limit])
+
     def count_near_slots(self) -> int:
         """Count the slots of servers that require no minimum gain."""
         return sum(
@@ -164,7 +173,7 @@
     """
     drawn = random.sample(tier, min(MAX_DRAWN, len(tier)))
     if len(drawn) > MAX_COMPARED:
-        drawn = _prioritize(drawn, now)
+        drawn = _prioritize(drawn, queued, now)
     free = []
     full = []
     for candidate in drawn:
@@ -179,10 +188,12 @@
     return free + full[: MAX_COMPARED - len(free)]
 
 
-def _prioritize(drawn: list[Candidate], now: float) -> list[Candidate]:
+def _prioritize(
+    drawn: list[Candidate], queued: QueuedRequest, now: float
+) -> list[Candidate]:
     """Move some servers to the front, new ones before connected ones."""
     first = [each for each in drawn if _is_new(each, now)]
-    first.extend(each for each in drawn if now < each.connected_until_s)
+    first.extend(each for each in drawn if queued.is_connected(each, now))
     first = first[: MAX_COMPARED // 2]
     return first + [each for each in drawn if each not in first]
 
@@ -199,7 +210,7 @@
     """Return the utility added for a new or a connected server."""
     if _is_new(candidate, now) and queued.rank:
         return NEW_SERVER_BONUS
-    return CONNECTED_BONUS if now < candidate.connected_until_s else 0
+    return CONNECTED_BONUS if queued.is_connected(candidate, now) else 0
 
 
 def _is_new(candidate: Candidate, now: float) -> bool:
