Bound what a peer may send outside of bodies, and reject more bad input

Tests that failed first: a server that sends a head, headers, interim responses, blank lines, a chunk extension, trailers or a foreign body without end held its request until the deadline and grew the memory; now the exchange fails after 64 KiB outside of bodies (1 MiB of foreign bodies) and the caller is told at once. A late copy of a response was taken for that of a probe, and the probe's response for that of the next request, which then failed with 502. inf and nan in a load report, Infinity in a configuration, deep nesting in a summary and malformed pages raised errors without a number. Callers' trailers passed for headers; chunk extensions and blank lines had no bound. The supervisor's backoff never fell; a discarded result kept its connection; a hedge overwrote the time of the first copy; a listed VM that was never heard stayed for good; the log's client was closed by a method that its library lacks.

--- a/wagtailfork/bench/membership.py
+++ b/wagtailfork/bench/membership.py
@@ -76,7 +76,7 @@
                 attrs.evolve(other.membership.me, incarnation=0)
                 for other in self.vms.values()
             ]
-            vm.membership.add_listed(listed)
+            vm.membership.add_listed(listed, self.now_s)
             for receiver in vm.gossip.join_targets(listed):
                 self._send(
                     vm, receiver.address, HeartbeatRequest(vm.membership.me)
--- a/wagtailfork/control/log_client.py
+++ b/wagtailfork/control/log_client.py
@@ -81,7 +81,7 @@
 
     async def close(self) -> None:
         """Close the connections."""
-        await self._http.shutdown()
+        await self._http.aclose()
 
     async def _call(
         self,
@@ -147,4 +147,4 @@
     await asyncio.sleep(timeout_s)
     with contextlib.suppress(*_CALL_ERRORS):
         async with asyncio.timeout(_CLOSE_TIMEOUT_S):
-            await old_client.shutdown()
+            await old_client.aclose()
--- a/wagtailfork/core/supervisor.py
+++ b/wagtailfork/core/supervisor.py
@@ -7,12 +7,14 @@
 
 import attrs
 
+from .clock import now_s
 from .logs import log_warning
 
 ChildRun = Callable[[], Awaitable[None]]
 
 _MIN_BACKOFF_S: Final = 0.1
 _MAX_BACKOFF_S: Final = 5.0
+STABLE_AFTER_S: Final = 10.0  # a run this long resets the backoff
 
 _logger = logging.getLogger(__name__)
 
@@ -40,6 +42,7 @@
     async def _run_with_restarts(self, name: str, child: ChildRun) -> None:
         backoff_s = _MIN_BACKOFF_S
         while True:
+            started_s = now_s()
             try:
                 await child()
             except Exception as exc:
@@ -52,6 +55,8 @@
                 )
             else:
                 return
+            if now_s() - started_s > STABLE_AFTER_S:
+                backoff_s = _MIN_BACKOFF_S
             self.restarts[name] = self.restarts.get(name, 0) + 1
             await asyncio.sleep(backoff_s)
             backoff_s = min(backoff_s * 2, _MAX_BACKOFF_S)
--- a/wagtailfork/fleet/datagrams.py
+++ b/wagtailfork/fleet/datagrams.py
@@ -3,14 +3,13 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Any
 
 from ..core.address import split_address
 from ..core.errors import WagtailforkError
 from ..core.logs import log_warning
 from .messages import Message, decode, encode
 
-MAX_DATAGRAM_BYTES: Final = 1200  # below the MTU of usual paths
 _logger = logging.getLogger(__name__)
 
 
--- a/wagtailfork/fleet/members.py
+++ b/wagtailfork/fleet/members.py
@@ -80,14 +80,14 @@
             self._record_heartbeat(rows[0].address, now)
         return joined
 
-    def add_listed(self, members: Iterable[Member]) -> None:
+    def add_listed(self, members: Iterable[Member], now: float) -> None:
         """Add listed VMs as down until a heartbeat confirms them."""
         for member in members:
             if member.address == self.me.address:
                 continue
             if member.address not in self._table:
                 unconfirmed = attrs.evolve(member, down=True)
-                self._table[member.address] = _Entry(unconfirmed, 0)
+                self._table[member.address] = _Entry(unconfirmed, now)
 
     def mark_down(self, address: str, now: float) -> Member:
         """Mark a monitored VM as down and return its new row."""
@@ -202,9 +202,7 @@
         expired = [
             one.member
             for one in self._table.values()
-            if one.member.down
-            and one.updated_at_s
-            and now - one.updated_at_s > MEMBER_EXPIRY_S
+            if one.member.down and now - one.updated_at_s > MEMBER_EXPIRY_S
         ]
         for member in expired:
             self._table.pop(member.address)
--- a/wagtailfork/fleet/snapshots.py
+++ b/wagtailfork/fleet/snapshots.py
@@ -51,12 +51,28 @@
 
 
 def unpack(packed: bytes) -> bytes:
-    """Decompress a configuration, bounded in size.
+    """Decompress a configuration or raise ``frame_malformed``.
+
+    It is malformed if it is cut short or larger than ``MAX_SNAPSHOT_BYTES``.
 
     >>> unpack(pack(b'abc')), unpack(b'')
     (b'abc', b'')
     """
-    return zlib.decompressobj().decompress(packed, MAX_SNAPSHOT_BYTES)
+    if not packed:
+        return b''
+    decompressor = zlib.decompressobj()
+    try:
+        raw = decompressor.decompress(packed, MAX_SNAPSHOT_BYTES)
+    except zlib.error as exc:
+        raise WagtailforkError(
+            ResultCode.frame_malformed, f'configuration: {exc}'
+        ) from exc
+    if not decompressor.eof:
+        raise WagtailforkError(
+            ResultCode.frame_malformed,
+            f'configuration cut short, or over {MAX_SNAPSHOT_BYTES} bytes',
+        )
+    return raw
 
 
 def send_snapshot(req: CallerRequest, snapshot: Snapshot) -> None:
--- a/wagtailfork/gateway/call.py
+++ b/wagtailfork/gateway/call.py
@@ -32,6 +32,12 @@
     delivered: bool = False  # the server received the request, executed or not
     conn: BackendConnection | None = None  # still receiving the response body
 
+    def discard(self) -> None:
+        """Close the connection of a response that nobody will read."""
+        if self.conn is not None:
+            self.conn.close()
+            self.conn = None
+
     @property
     def usable(self) -> bool:
         """Return whether the response needs no retry."""
--- a/wagtailfork/gateway/forwarder.py
+++ b/wagtailfork/gateway/forwarder.py
@@ -150,6 +150,8 @@
         while True:
             result = await self._send_hedged(call)
             if result.response is not None:
+                if fallback is not None:
+                    fallback.discard()
                 fallback = result
             if result.usable or not self._may_retry(call, result):
                 return fallback or result
@@ -255,8 +257,15 @@
     best: SendResult | None = None
     for task in done:
         outcome = task.result()
-        if outcome.usable:
-            return outcome
-        if best is None or outcome.response is not None:
-            best = outcome
+        if best is None or _is_better(outcome, best):
+            best, outcome = outcome, best or outcome
+        if outcome is not best:
+            outcome.discard()
     return best
+
+
+def _is_better(result: SendResult, other: SendResult) -> bool:
+    return (result.usable, result.response is not None) > (
+        other.usable,
+        other.response is not None,
+    )
--- a/wagtailfork/gateway/heartbeats.py
+++ b/wagtailfork/gateway/heartbeats.py
@@ -90,7 +90,7 @@
 
     def request_heartbeats(self, members: list[Member]) -> None:
         """Add registered VMs and request heartbeats of some of them."""
-        self.membership.add_listed(members)
+        self.membership.add_listed(members, now_s())
         targets = self._gossip.join_targets(members)
         recipients = [one.address for one in targets]
         self.datagrams.send(HeartbeatRequest(self.membership.me), recipients)
--- a/wagtailfork/gateway/prober.py
+++ b/wagtailfork/gateway/prober.py
@@ -16,7 +16,11 @@
 from ..fleet.members import Membership
 from ..http1.headers import render_head
 from ..http1.pool import ConnectionPool
-from ..http1.responses import RequestNotSent, ResponseError
+from ..http1.responses import (
+    BackendResponse,
+    RequestNotSent,
+    ResponseError,
+)
 from ..routing.candidate import Candidate
 from ..routing.load import report_now
 from .backend_registry import BackendRegistry, Topology
@@ -216,7 +220,9 @@
             timeout_s=PROBE_TIMEOUT_S,
         )
         try:
-            response = await conn.exchange(self._render_head(server))
+            response = await conn.exchange(
+                self._render_head(server), accept=self._is_own_response
+            )
             await response.body.wait_buffered()
         except BaseException:
             conn.close()
@@ -236,6 +242,10 @@
             self.on_report(candidate, False)
         return True
 
+    def _is_own_response(self, response: BackendResponse) -> bool:
+        """Return whether a response is not one to a request of a caller."""
+        return self.dialect.read_response(response).request_id is None
+
     def _render_head(self, server: BackendServer) -> bytes:
         cfg = self.view.configuration
         rule = cfg.services.get(server.service) if cfg else None
--- a/wagtailfork/gateway/sender.py
+++ b/wagtailfork/gateway/sender.py
@@ -113,9 +113,11 @@
         req = call.req
         head = self.dialect.render_request(req, left_s, candidate.name)
         call.sends += 1
-        call.sent_at_s = started_s
+        if not call.hedged:
+            # The decision to hedge is about the first copy.
+            call.sent_at_s = started_s
+            call.candidate = candidate
         call.sent_event.set()
-        call.candidate = candidate
         self.log.emit(
             'sent',
             id=call.metadata.request_id,
--- a/wagtailfork/gateway/snapshot_fetcher.py
+++ b/wagtailfork/gateway/snapshot_fetcher.py
@@ -52,9 +52,8 @@
                 self.view.version,
                 self.view.position,
             )
+            self.view.merge(snapshot, address)
         except WagtailforkError as exc:
             log_warning(_logger, 'snapshot_failed', peer=address, error=exc)
-            return
         finally:
             self.fetching = False
-        self.view.merge(snapshot, address)
--- /dev/null
+++ b/wagtailfork/gateway/tests/test_invalid_responses.py
@@ -0,0 +1,218 @@
+"""Bytes of backend servers that are no valid response."""
+
+import asyncio
+import contextlib
+import tracemalloc
+from typing import Any
+
+import testtools
+
+from ...core.clock import now_s
+from ...standin.scripted_backend import (
+    ReceivedRequest,
+    ScriptedBackend,
+    Writer,
+    render_response,
+    serve_request,
+)
+from ...routing.candidate import FRESH_REPORT_S
+from .rig import Rig, run_scenario
+
+PIECE = b'x' * 16384
+# A caller is told at once, long before its deadline of 1.5 s.
+ANSWER_LIMIT_S = 1.0
+COPY_LEAD_S = 0.01  # of a copy before the expected response
+MAX_GROWTH_BYTES = 4000000  # a few sockets' buffers and the limit on heads
+
+
+async def _send_without_end(writer: Writer, piece: bytes) -> None:
+    """Send a piece again and again until the peer closes."""
+    with contextlib.suppress(ConnectionError):
+        while not writer.transport.is_closing():
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(0)
+
+
+async def send_endless_head(
+    backend: ScriptedBackend, req: ReceivedRequest, writer: Writer
+) -> None:
+    """Send one header value without end."""
+    writer.write(b'HTTP/1.1 200 OK\r\nX-Long: ')
+    await _send_without_end(writer, PIECE)
+
+
+async def send_endless_headers(
+    backend: ScriptedBackend, req: ReceivedRequest, writer: Writer
+) -> None:
+    """Send headers without end."""
+    writer.write(b'HTTP/1.1 200 OK\r\n')
+    await _send_without_end(writer, b'X-More: 1\r\n' * 100)
+
+
+async def send_endless_interim(
+    backend: ScriptedBackend, req: ReceivedRequest, writer: Writer
+) -> None:
+    """Send interim responses without end."""
+    await _send_without_end(writer, b'HTTP/1.1 102 Processing\r\n\r\n' * 50)
+
+
+async def send_endless_blank_lines(
+    backend: ScriptedBackend, req: ReceivedRequest, writer: Writer
+) -> None:
+    """Send blank lines without end before the response."""
+    await _send_without_end(writer, b'\r\n' * 1000)
+
+
+async def send_endless_chunk_extension(
+    backend: ScriptedBackend, req: ReceivedRequest, writer: Writer
+) -> None:
+    """Send a chunk size with an extension without end."""
+    head = render_response(req, b'').replace(
+        b'Content-Length: 0', b'Transfer-Encoding: chunked'
+    )
+    writer.write(b'%b5;x=' % head)
+    await _send_without_end(writer, PIECE)
+
+
+async def send_endless_trailers(
+    backend: ScriptedBackend, req: ReceivedRequest, writer: Writer
+) -> None:
+    """Send trailers without end after the last chunk."""
+    head = render_response(req, b'').replace(
+        b'Content-Length: 0', b'Transfer-Encoding: chunked'
+    )
+    writer.write(b'%b2\r\nok\r\n0\r\n' % head)
+    await _send_without_end(writer, b'X-More: 1\r\n' * 100)
+
+
+async def send_endless_foreign_body(
+    backend: ScriptedBackend, req: ReceivedRequest, writer: Writer
+) -> None:
+    """Send a response to another request whose body has no end."""
+    writer.write(
+        b'HTTP/1.1 200 OK\r\nRequest-Id: other\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n'
+    )
+    await _send_without_end(writer, b'4000\r\n%b\r\n' % PIECE)
+
+
+async def send_copies(
+    backend: ScriptedBackend, req: ReceivedRequest, writer: Writer
+) -> None:
+    """Send a copy of the last response, where the next is expected."""
+    if backend.runs:
+        copy = render_response(backend.runs[-1], b'copy')
+        writer.write(copy)
+        await writer.drain()
+        await asyncio.sleep(COPY_LEAD_S)
+
+
+ENDLESS = (
+    send_endless_head,
+    send_endless_headers,
+    send_endless_interim,
+    send_endless_blank_lines,
+    send_endless_chunk_extension,
+    send_endless_trailers,
+    send_endless_foreign_body,
+)
+
+
+class TestEndlessResponses(testtools.TestCase):
+    """Bytes without end cost bounded time and memory."""
+
+    def test_unsafe_request_fails_at_once(self) -> None:
+        """The caller learns that the outcome is unknown; others are served."""
+        for script in ENDLESS:
+            with self.subTest(script.__name__):
+                run_scenario(lambda rig: self._call_unsafe(rig, script))
+
+    def test_safe_request_is_served_by_another_server(self) -> None:
+        """A repeatable request is sent again elsewhere."""
+        for script in ENDLESS:
+            with self.subTest(script.__name__):
+                run_scenario(lambda rig: self._call_safe(rig, script))
+
+    async def _call_unsafe(self, rig: Rig, script: Any) -> None:
+        await rig.start()
+        for backend in rig.backends.values():
+            backend.script = script
+        tracemalloc.start()
+        started_s = now_s()
+        try:
+            response = await rig.call('/pay/1', 'r1', b'x')
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        self.assertEqual(502, response.status)
+        self.assertLess(now_s() - started_s, ANSWER_LIMIT_S)
+        self.assertLess(peak, MAX_GROWTH_BYTES)
+        for backend in rig.backends.values():
+            backend.script = serve_request
+        response = await rig.call('/pay/1', 'r2', b'x')
+        self.assertEqual(200, response.status)
+
+    async def _call_safe(self, rig: Rig, script: Any) -> None:
+        await rig.start()
+        first = rig.backends['b0']
+        first.script = script
+        for number in range(6):
+            started_s = now_s()
+            response = await rig.call('/look/1', f'r{number}')
+            self.assertEqual(200, response.status)
+            self.assertLess(now_s() - started_s, ANSWER_LIMIT_S)
+
+
+class TestLateCopies(testtools.TestCase):
+    """A second copy of a response never reaches another request."""
+
+    def test_copy_before_a_probe(self) -> None:
+        """The response to a probe is never taken for that of a request.
+
+        The probe took the copy for its own response, so its response arrived
+        when that of the next request was expected.
+        """
+        run_scenario(lambda rig: self._copy(rig, aging_s=3 * FRESH_REPORT_S))
+
+    def test_copy_before_a_response(self) -> None:
+        """A request on the same connection gets its own response."""
+        run_scenario(lambda rig: self._copy(rig, aging_s=0))
+
+    async def _copy(self, rig: Rig, aging_s: float) -> None:
+        await rig.start(backends=1)
+        backend = rig.backends['b0']
+        backend.prelude = send_copies
+        for number in range(6):
+            response = await rig.call('/pay/1', f'r{number}', b'x')
+            self.assertEqual(200, response.status)
+            self.assertEqual(b'done', response.body.payload())
+            self.assertEqual(
+                f'r{number}'.encode(), response.find(b'request-id')
+            )
+            await asyncio.sleep(aging_s)
+
+
+class TestLoadReports(testtools.TestCase):
+    """Load reports with impossible figures are ignored."""
+
+    def test_impossible_figures(self) -> None:
+        """Requests are served although the reports cannot be used."""
+        for figures in ('inf,0,4', 'nan,0,4', '1e400,0,4,nan', '-5,0,4,inf'):
+            with self.subTest(figures):
+                run_scenario(lambda rig: self._report(rig, figures))
+
+    async def _report(self, rig: Rig, figures: str) -> None:
+        async def respond(
+            backend: ScriptedBackend, req: ReceivedRequest, writer: Writer
+        ) -> None:
+            backend.runs.append(req)
+            extra = f'Server-Load: {figures}\r\n'
+            writer.write(render_response(req, extra=extra))
+
+        await rig.start()
+        for backend in rig.backends.values():
+            backend.script = respond
+        for number in range(4):
+            response = await rig.call('/pay/1', f'r{number}', b'x')
+            self.assertEqual(200, response.status)
--- a/wagtailfork/http1/backend.py
+++ b/wagtailfork/http1/backend.py
@@ -14,6 +14,11 @@
 _INFORMATIONAL_END: Final = 200
 _BODILESS: Final = frozenset((204, 304))
 _LAST_CHUNK: Final = b'0\r\n\r\n'
+# Bytes of one exchange that belong to no body: heads, interim responses, blank
+# lines, chunk sizes and trailers. Common servers limit a head to 8 to 64 KiB.
+MAX_OVERHEAD_BYTES: Final = 65536
+# Bodies of responses to other requests, skipped during one exchange.
+MAX_SKIPPED_BYTES: Final = 1048576
 
 Accept = Callable[[BackendResponse], bool]
 
@@ -45,6 +50,9 @@
         self._head_only = False
         self._reusable = True
         self._response_complete = False
+        self._received_bytes = 0  # of the current exchange
+        self._body_bytes = 0
+        self._skipped_bytes = 0
         self._drained = asyncio.Event()
         self._drained.set()
 
@@ -59,12 +67,14 @@
         if self._parser is None:
             self.close()
             return
+        self._received_bytes += len(raw)
         try:
             self._parser.feed_data(raw)
         except httptools.HttpParserUpgrade:
             self._fail('the backend server switched protocols')
         except httptools.HttpParserError as exc:
             self._fail(f'invalid response: {exc!r}')
+        self._check_overhead()
         if self._response_complete:
             # The parser must not be released within one of its callbacks.
             self._response_complete = False
@@ -151,6 +161,9 @@
         self._head_only = head_only
         self._until_close = False
         self._response = None
+        self._received_bytes = 0
+        self._body_bytes = 0
+        self._skipped_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
         self._waiter = asyncio.get_running_loop().create_future()
 
@@ -217,7 +230,9 @@
     def on_body(self, piece: bytes) -> None:
         """Feed a piece to the response body."""
         if self._skipping or self._response is None:
+            self._skipped_bytes += len(piece)
             return
+        self._body_bytes += len(piece)
         if not self._head_only:
             self._response.body.feed(piece)
 
@@ -234,6 +249,16 @@
         self._response_complete = True
         response.body.finish()
 
+    def _check_overhead(self) -> None:
+        """Fail an exchange that receives bytes of no response without end."""
+        body_bytes = self._body_bytes + self._skipped_bytes
+        overhead_bytes = self._received_bytes - body_bytes
+        # A chunk of a few bytes costs as many to frame.
+        if overhead_bytes > MAX_OVERHEAD_BYTES + body_bytes:
+            self._fail(f'{overhead_bytes} bytes outside of a response body')
+        elif self._skipped_bytes > MAX_SKIPPED_BYTES:
+            self._fail(f'{self._skipped_bytes} bytes for other requests')
+
     def _read_framing(self, response: BackendResponse) -> None:
         sized = response.find(b'content-length') is not None
         chunked = response.find(b'transfer-encoding') is not None
--- a/wagtailfork/http1/body.py
+++ b/wagtailfork/http1/body.py
@@ -8,6 +8,7 @@
 
 REPLAY_LIMIT_BYTES: Final = 524288  # larger bodies cannot be resent
 HIGH_WATER_BYTES: Final = 131072  # unread, before the source is paused
+MIN_PIECE_BYTES: Final = 512  # smaller pieces are joined, to bound the memory
 
 
 class BodyTruncated(Exception):
@@ -36,6 +37,7 @@
     truncated: bool = False
     _pieces: list[bytes] = attrs.field(factory=list)
     _read_size: int = 0
+    _read_pieces: int = 0
     _discarded: bool = False
     _paused: bool = False
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -47,7 +49,10 @@
 
     def feed(self, piece: bytes) -> None:
         """Append bytes from the source."""
-        self._pieces.append(piece)
+        if self._joins_last():
+            self._pieces[-1] += piece
+        else:
+            self._pieces.append(piece)
         self.size += len(piece)
         unread = self.size - max(self._read_size, self.replay_limit_bytes)
         if unread > HIGH_WATER_BYTES and not self._paused:
@@ -96,7 +101,14 @@
             self._changed.clear()
             await self._changed.wait()
 
+    def _joins_last(self) -> bool:
+        """Return whether the last piece is small and no reader has it."""
+        if len(self._pieces) <= self._read_pieces:
+            return False
+        return len(self._pieces[-1]) < MIN_PIECE_BYTES
+
     def _read_piece(self, index: int) -> bytes:
+        self._read_pieces = max(self._read_pieces, index + 1)
         piece = self._pieces[index]
         self._read_size += len(piece)
         if self.size > self.replay_limit_bytes:
--- a/wagtailfork/http1/caller.py
+++ b/wagtailfork/http1/caller.py
@@ -16,6 +16,9 @@
 
 _LINGER_S: Final = 1.0  # for a caller to read an early response
 _MAX_PIPELINED: Final = 8  # queued requests before reading is paused
+# Blank lines between requests, chunk sizes with extensions and trailers.
+MAX_OVERHEAD_BYTES: Final = 65536
+_CHUNK_FRAMING_BYTES: Final = 8
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _STATUS_LINES: Final = {
     status.value: f'HTTP/1.1 {status.value} {status.phrase}'.encode()
@@ -48,6 +51,7 @@
         self._header_bytes = 0
         self._partial_head_bytes = 0  # of a head received in pieces
         self._reading_head = False
+        self._overhead_bytes = 0  # received outside of heads and bodies
         self._timeouts = TimeoutMonitor(self, server.limits)
         self._drained = asyncio.Event()
         self._drained.set()
@@ -66,6 +70,7 @@
         if self._closing:
             return
         was_reading_head = self._reading_head
+        self._overhead_bytes += len(raw)
         try:
             self._parser.feed_data(raw)
         except httptools.HttpParserUpgrade:
@@ -77,6 +82,8 @@
             self._partial_head_bytes += len(raw)
             if self._partial_head_bytes > self._header_limit():
                 self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        elif self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            self._reject(HTTPStatus.BAD_REQUEST)
 
     def eof_received(self) -> None:
         """Abort the connection, as the caller has closed its side."""
@@ -109,6 +116,7 @@
         self._reading_head = True
         self._header_bytes = 0
         self._partial_head_bytes = 0
+        self._overhead_bytes = 0
         self._incoming = CallerRequest(
             self,
             now_s(),
@@ -123,9 +131,12 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header."""
-        if self._incoming is not None:
+        if self._incoming is None:
+            return
+        if self._reading_head:
+            # A trailer must not pass for a header.
             self._incoming.headers.append((name, value))
-            self._count_header(len(name) + len(value) + 4)
+        self._count_header(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
         """Queue the request whose head is complete."""
@@ -154,6 +165,8 @@
         req = self._incoming
         if req is None:
             return
+        # A chunk of one byte has up to eight bytes of framing.
+        self._overhead_bytes -= (1 + _CHUNK_FRAMING_BYTES) * len(piece)
         req.body.feed(piece)
         if req.body.size > self._server.limits().max_body_bytes:
             req.body.fail()
@@ -161,6 +174,7 @@
 
     def on_message_complete(self) -> None:
         """Complete the request body."""
+        self._overhead_bytes = 0
         if self._incoming is not None:
             self._incoming.body.finish()
             self._incoming = None
--- a/wagtailfork/http1/tests/test_caller.py
+++ b/wagtailfork/http1/tests/test_caller.py
@@ -1,6 +1,7 @@
 """Size limits and timeouts of caller connections."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 
 import testtools
@@ -63,6 +64,22 @@
     return int(head.split(b' ')[1])
 
 
+async def _respond_with_names(req: CallerRequest) -> None:
+    await req.body.wait_buffered()
+    names = b','.join(name.lower() for name, _ in req.headers)
+    req.respond(200, [], names)
+
+
+async def _send_trailer(reader: Reader, writer: Writer) -> None:
+    writer.write(
+        b'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'0\r\nX-Trailer: 5\r\n\r\n'
+    )
+    await reader.readuntil(b'\r\n\r\n')
+    names = await reader.read(100)
+    assert names == b'host,transfer-encoding', names
+
+
 class TestLimits(testtools.TestCase):
     """Oversized or slow requests get an error status, then a close."""
 
@@ -76,6 +93,16 @@
 
         run_scenario(scenario)
 
+    def _expect_abort(self, *pieces: bytes) -> None:
+        async def scenario(reader: Reader, writer: Writer) -> None:
+            with contextlib.suppress(ConnectionError):
+                for piece in pieces:
+                    writer.write(piece)
+                    await asyncio.sleep(PIECE_DELAY_S)
+                self.assertEqual(b'', await reader.read())
+
+        run_scenario(scenario)
+
     def test_large_head(self) -> None:
         """A head above its limit is rejected with 431."""
         filler = b'a' * 500
@@ -96,6 +123,24 @@
             b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n',
         )
 
+    def test_endless_blank_lines(self) -> None:
+        """Blank lines without end before a request are rejected."""
+        self._expect(400, *[b'\r\n' * 10000] * 5)
+
+    def test_endless_chunk_extension(self) -> None:
+        """A chunk extension without end closes the connection."""
+        head = b'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n'
+        self._expect_abort(b'%b\r\n1;x=' % head, *[b'y' * 20000] * 4)
+
+    def test_endless_trailers(self) -> None:
+        """Trailers above the limit of a head close the connection."""
+        head = b'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n'
+        self._expect_abort(b'%b\r\n0\r\n' % head, *[b'X: 1\r\n' * 20] * 6)
+
+    def test_trailer_is_no_header(self) -> None:
+        """A trailer does not pass for a header of the request."""
+        run_scenario(_send_trailer, _respond_with_names)
+
     def test_slow_head(self) -> None:
         """A head that is incomplete at its timeout is rejected with 408."""
         self._expect(408, b'GET / HTTP/1.1\r\nHost:')
--- a/wagtailfork/platform/documents.py
+++ b/wagtailfork/platform/documents.py
@@ -1,6 +1,7 @@
 """Decode the documents of operators and backend servers in the store."""
 
 import json
+import math
 from typing import Any, Final
 
 from ..core.errors import WagtailforkError
@@ -29,9 +30,22 @@
     )
 
 
+def _reject_constant(text: str) -> float:
+    raise ValueError(f'{text} is not a JSON number')
+
+
+def _parse_finite(text: str) -> float:
+    number = float(text)
+    if not math.isfinite(number):
+        raise ValueError(f'{text} is too large')
+    return number
+
+
 def _parse_object(raw: bytes) -> dict[str, Any]:
     try:
-        document = json.loads(raw)
+        document = json.loads(
+            raw, parse_constant=_reject_constant, parse_float=_parse_finite
+        )
     except (ValueError, RecursionError) as exc:
         raise _malformed('invalid JSON', raw) from exc
     if not isinstance(document, dict):
@@ -44,7 +58,13 @@
     document = _parse_object(raw)
     try:
         return _read_configuration(document)
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+    ) as exc:
         raise _malformed('configuration', exc) from exc
 
 
--- a/wagtailfork/platform/headers.py
+++ b/wagtailfork/platform/headers.py
@@ -15,6 +15,8 @@
 _PERCENT: Final = 100
 _DEFAULT_PERCENT: Final = b'100'
 _COUNT_FIELDS: Final = 3
+_MAX_FIGURE: Final = 1000000  # a larger one, or a negative one, is an error
+_MIN_SLOWNESS: Final = 0.1
 
 _REQUEST_ID: Final = b'request-id'
 _DEADLINE: Final = b'request-deadline-ms'
@@ -34,21 +36,24 @@
     >>> report = parse_load_report(b'3,1,4,250')
     >>> report.running, report.waiting, report.slots, report.slowness
     (3, 1, 4, 2.5)
-    >>> parse_load_report(b'x') is None
-    True
+    >>> parse_load_report(b'x') is None, parse_load_report(b'inf,0,4') is None
+    (True, True)
     """
     parts = [part.strip() for part in text.split(b',')]
     if len(parts) == _COUNT_FIELDS:
         parts.append(_DEFAULT_PERCENT)
     try:
-        running, waiting, slots, percent = (float(part) for part in parts)
+        figures = [float(part) for part in parts]
+        running, waiting, slots, percent = figures
     except ValueError:
         return None
+    if not all(0 <= figure <= _MAX_FIGURE for figure in figures):
+        return None
     return report_now(
         int(running),
         int(waiting),
         int(slots),
-        max(0.1, percent / _PERCENT),
+        max(_MIN_SLOWNESS, percent / _PERCENT),
     )
 
 
--- a/wagtailfork/platform/store.py
+++ b/wagtailfork/platform/store.py
@@ -28,6 +28,15 @@
 _OFFSETS: Final = struct.Struct('>QQ')
 _LENGTH: Final = struct.Struct('>I')
 
+_PAGE_ERRORS: Final = (
+    AttributeError,
+    KeyError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
 _logger = logging.getLogger(__name__)
 
 
@@ -57,6 +66,15 @@
     end: int
 
 
+@attrs.frozen
+class _Page:
+    """Hold one page of a listing."""
+
+    records: dict[str, bytes]
+    end: int
+    has_more: bool
+
+
 @attrs.define(eq=False)
 class StoreClient:
     """Call the store with a timeout on each call."""
@@ -75,12 +93,13 @@
         while True:
             page = await self._newest_page(topic, after)
             if end is None:
-                end = int(page['end'])
-            for row in page['items']:
-                records[row['key']] = base64.b64decode(row['value'])
-                after = row['key']
-            if not page.get('hasMore') or not page['items']:
+                end = page.end
+            if page.has_more and not page.records.keys() - records.keys():
+                raise _unavailable(f'{topic}: no new key after {after!r}')
+            records.update(page.records)
+            if not page.has_more:
                 return Listing(records, end)
+            after = next(reversed(page.records))
 
     async def read_keyed(
         self,
@@ -145,19 +164,16 @@
             )
         return _parse_frames(_expect_ok(response), start)
 
-    async def _newest_page(
-        self, topic: str, after: str | None
-    ) -> dict[str, Any]:
+    async def _newest_page(self, topic: str, after: str | None) -> _Page:
         query: dict[str, Any] = {'topic': topic, 'part': 0}
         if after is not None:
             query['after'] = after
         response = await self._call('GET', f'/v1/log-newest?{urlencode(query)}')
         raw = _expect_ok(response)
         try:
-            page: dict[str, Any] = json.loads(raw)
-        except ValueError as exc:
-            raise _unavailable(f'{topic}: invalid JSON') from exc
-        return page
+            return _parse_page(json.loads(raw))
+        except _PAGE_ERRORS as exc:
+            raise _unavailable(f'{topic}: malformed page: {exc!r}') from exc
 
     async def _call(
         self,
@@ -202,6 +218,14 @@
         return response
 
 
+def _parse_page(plain: Any) -> _Page:
+    records = {
+        str(row['key']): base64.b64decode(row['value'], validate=True)
+        for row in plain['items']
+    }
+    return _Page(records, int(plain['end']), bool(plain.get('hasMore')))
+
+
 def _unavailable(detail: str) -> WagtailforkError:
     return WagtailforkError(ResultCode.log_unavailable, detail)
 
--- a/wagtailfork/platform/traffic.py
+++ b/wagtailfork/platform/traffic.py
@@ -33,7 +33,7 @@
     try:
         text = zlib.decompressobj().decompress(record, _MAX_SUMMARY_BYTES)
         return json.loads(text)
-    except (zlib.error, ValueError) as exc:
+    except (zlib.error, ValueError, RecursionError) as exc:
         log_warning(_logger, 'summary_unreadable', error=repr(exc))
         return None
 
--- a/wagtailfork/standin/scripted_backend.py
+++ b/wagtailfork/standin/scripted_backend.py
@@ -32,9 +32,10 @@
     extra: str = '',
 ) -> bytes:
     """Render a signed response to a request."""
+    request_id = req.headers.get('request-id')
+    echo = f'Request-Id: {request_id}\r\n' if request_id else ''
     head = (
-        f'HTTP/1.1 {status}\r\n'
-        f'Request-Id: {req.headers.get("request-id", "")}\r\n'
+        f'HTTP/1.1 {status}\r\n{echo}'
         f'Server-Signature: s.1\r\n{extra}'
         f'Content-Length: {len(body)}\r\n\r\n'
     )
@@ -115,6 +116,14 @@
     backend.runs.append(req)
 
 
+async def _send_nothing(
+    backend: 'ScriptedBackend',
+    req: ReceivedRequest,
+    writer: Writer,
+) -> None:
+    """Send nothing before a response."""
+
+
 @attrs.define(eq=False)
 class ScriptedBackend:
     """Serve on loopback; ``script`` handles each request."""
@@ -124,6 +133,7 @@
     service_s: float = 0.005
     slowness_percent: int = 100
     script: Script = serve_request
+    prelude: Script = _send_nothing  # before each response, probes included
     runs: list[ReceivedRequest] = attrs.field(factory=list)
     arrivals: list[ReceivedRequest] = attrs.field(factory=list)
     probes: int = 0
@@ -171,6 +181,7 @@
         writer: Writer,
     ) -> None:
         req = await _read_request(reader)
+        await self.prelude(self, req, writer)
         if req.path == _HEALTH_PATH:
             self.probes += 1
             extra = f'Instance-Id: {self.name}\r\n{self.load_header()}'
