--- a/wagtailfork/gateway/prober.py
+++ b/wagtailfork/gateway/prober.py
@@ -130,7 +130,9 @@
             # Without sharing, servers are probed only just before a send.
             if self.shares_loads():
                 self._start_probes()
-            await asyncio.sleep(self.period_s / 4)
+                await asyncio.sleep(self.period_s / 4)
+            else:
+                await asyncio.sleep(self.period_s)
 
     def _start_probes(self) -> None:
         now = now_s()
--- a/wagtailfork/platform/source.py
+++ b/wagtailfork/platform/source.py
@@ -22,6 +22,7 @@
 _VMS_TOPIC: Final = 'keyed.wagtailfork-vms'
 _BACKOFF_S: Final = 0.25  # multiplied by the failures in a row
 _MAX_BACKOFF_S: Final = 1.0
+_ELECTION_CHECK_S: Final = 0.1  # a sixteenth of a reader's lease
 
 _logger = logging.getLogger(__name__)
 
@@ -116,7 +117,7 @@
             if not self.should_read():
                 status.ok = False
                 status.failures = 0
-                await asyncio.sleep(_BACKOFF_S / 5)
+                await asyncio.sleep(_ELECTION_CHECK_S)
                 continue
             try:
                 await read_once()
