Place requests through coordinators in domains of any size

Cause: domains of up to nine VMs sent each request in flight to each neighbour; the counts arrive 8 ms late, and each VM still had a queue of its own. So the messages about requests in flight, the digests between domains and the periodic probes go, and with them the setting probe_period_s. The test of a dead neighbour's count is replaced by one of a dead VM's slots, which are freed once the VM counts as down, else at the deadlines.

--- a/wagtailfork/core/settings.py
+++ b/wagtailfork/core/settings.py
@@ -109,9 +109,6 @@
     stop_accepts_s: float = attrs.field(default=3.0, validator=_POSITIVE)
     stop_limit_s: float = attrs.field(default=5.2, validator=_POSITIVE)
     directory_ttl_s: float = attrs.field(default=2.0, validator=_POSITIVE)
-    # A server is probed before a request is sent to it. Periodic probes keep
-    # the load reports of servers with few requests fresh in other domains.
-    probe_period_s: float = attrs.field(default=0.5, validator=_POSITIVE)
     # Long-poll timeout. Short enough to detect a reader with a silent
     # connection within the limit on configuration age, counted from when its
     # VM becomes subject to that limit again.
--- a/wagtailfork/fleet/load_rows.py
+++ b/wagtailfork/fleet/load_rows.py
@@ -1,39 +1,58 @@
-"""Loads of backend servers in messages between entry VMs."""
+"""Load reports of backend servers in messages between entry VMs."""
 
 from typing import Any, Final
 
 import attrs
 
+from ..routing.load import LoadReport
+
 _PERCENT: Final = 100
+_MS: Final = 1000
 
 
 @attrs.frozen(kw_only=True)
 class LoadRow:
-    """Hold the sender's requests in flight at a server, and its load report.
+    """Hold a load report with its age, as the clocks of VMs differ."""
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float
+    age_ms: int
+
+
+def make_row(report: LoadReport | None, now: float) -> LoadRow | None:
+    """Return the row of a report, None without one."""
+    if report is None:
+        return None
+    return LoadRow(
+        running=report.running,
+        waiting=report.waiting,
+        slots=report.slots,
+        slowness=report.slowness,
+        age_ms=round((now - report.at_s) * _MS),
+    )
 
-    ``age_ms`` is negative if there is no load report; ``silent`` is set if the
-    server did not answer a probe.
-    """
 
-    server: str
-    in_flight: int
-    running: int = 0
-    waiting: int = 0
-    slots: int = 0
-    slowness: float = 1.0
-    age_ms: int = -1
-    silent: bool = False
+def restore_report(row: LoadRow, now: float) -> LoadReport:
+    """Return the report of a row, dated by its age.
+
+    >>> row = make_row(LoadReport(1, 0, 4, 1.5, at_s=2.0), now=2.5)
+    >>> restore_report(row, now=10.0).at_s
+    9.5
+    """
+    return LoadReport(
+        row.running,
+        row.waiting,
+        row.slots,
+        row.slowness,
+        now - row.age_ms / _MS,
+    )
 
 
 def render_load_row(row: LoadRow) -> list[Any]:
     """Return the wire form of a row."""
-    if row.silent:
-        return [row.server, row.in_flight, -1]
-    if row.age_ms < 0:
-        return [row.server, row.in_flight]
     return [
-        row.server,
-        row.in_flight,
         row.running,
         row.waiting,
         row.slots,
@@ -44,20 +63,11 @@
 
 def parse_load_row(row: list[Any]) -> LoadRow:
     """Parse the wire form of a row."""
-    server, in_flight, *report = row
-    if not report:
-        return LoadRow(server=str(server), in_flight=int(in_flight))
-    if report[0] < 0:
-        return LoadRow(
-            server=str(server), in_flight=int(in_flight), silent=True
-        )
-    numbers = [int(part) for part in report]
+    figures = [int(part) for part in row]
     return LoadRow(
-        server=str(server),
-        in_flight=int(in_flight),
-        running=numbers[0],
-        waiting=numbers[1],
-        slots=numbers[2],
-        slowness=numbers[3] / _PERCENT,
-        age_ms=numbers[4],
+        running=figures[0],
+        waiting=figures[1],
+        slots=figures[2],
+        slowness=figures[3] / _PERCENT,
+        age_ms=max(0, figures[4]),
     )
--- a/wagtailfork/fleet/messages.py
+++ b/wagtailfork/fleet/messages.py
@@ -8,14 +8,12 @@
 
 from ..core.errors import WagtailforkError
 from ..core.results import ResultCode
-from .load_rows import LoadRow, parse_load_row, render_load_row
 from .member import Member, MemberRow, MemberUpdate
 from .placement_codec import PLACEMENT_PARSERS, render_placement
 from .placement_messages import PlacementMessage
 
 _MAX_ERROR_CHARS: Final = 99  # of a decoder error
 _HEARTBEAT_KIND: Final = 1
-_LOAD_UPDATE_KIND: Final = 2
 _STRIKE_KIND: Final = 3
 _HEARTBEAT_REQUEST_KIND: Final = 4
 _MEMBER_NUMBERS: Final = slice(4, 9)  # integer fields of a member row
@@ -39,15 +37,6 @@
     member: Member
 
 
-@attrs.frozen
-class LoadUpdate:
-    """Carry loads of backend servers, to be forwarded if ``relay`` is set."""
-
-    sender: str
-    relay: bool
-    rows: list[LoadRow]
-
-
 @attrs.frozen
 class Strike:
     """Report that a request crashed a backend server."""
@@ -56,7 +45,7 @@
     server: str
 
 
-Message = Heartbeat | HeartbeatRequest | LoadUpdate | Strike | PlacementMessage
+Message = Heartbeat | HeartbeatRequest | Strike | PlacementMessage
 
 
 @singledispatch
@@ -75,14 +64,6 @@
     return cbor2.dumps([_HEARTBEAT_REQUEST_KIND, _member_row(message.member)])
 
 
-@encode.register
-def _(message: LoadUpdate) -> bytes:
-    rows = [render_load_row(row) for row in message.rows]
-    return cbor2.dumps(
-        [_LOAD_UPDATE_KIND, message.sender, message.relay, *rows]
-    )
-
-
 @encode.register
 def _(message: Strike) -> bytes:
     return cbor2.dumps([_STRIKE_KIND, message.fingerprint, message.server])
@@ -184,13 +165,6 @@
     )
 
 
-def _parse_load_update(parts: list[Any]) -> LoadUpdate:
-    sender, relay, *rows = parts
-    return LoadUpdate(
-        str(sender), bool(relay), [parse_load_row(row) for row in rows]
-    )
-
-
 _DECODERS: Final[dict[int, Any]] = {
     _HEARTBEAT_KIND: lambda parts: Heartbeat(
         [_parse_row(row) for row in parts]
@@ -198,7 +172,6 @@
     _HEARTBEAT_REQUEST_KIND: lambda parts: HeartbeatRequest(
         _parse_member(parts[0])
     ),
-    _LOAD_UPDATE_KIND: _parse_load_update,
     _STRIKE_KIND: lambda parts: Strike(int(parts[0]), str(parts[1])),
     **PLACEMENT_PARSERS,
 }
--- a/wagtailfork/gateway/fleet_link.py
+++ b/wagtailfork/gateway/fleet_link.py
@@ -11,12 +11,10 @@
 from ..core.clock import now_s
 from ..core.logs import log_warning
 from ..fleet.datagrams import Datagrams
-from ..fleet.load_sharing import LoadBatcher
 from ..fleet.members import Membership
 from ..fleet.messages import (
     Heartbeat,
     HeartbeatRequest,
-    LoadUpdate,
     Message,
     Strike,
 )
@@ -27,22 +25,14 @@
     PlacementQueued,
     PlacementRequest,
 )
-from ..http1.pool import ConnectionPool
-from ..routing.candidate import Candidate
 from ..routing.quarantine import Quarantine
-from .backend_registry import BackendRegistry
-from .heartbeats import ANNOUNCE_FANOUT, Heartbeats
-from .load_receiver import LoadReceiver
+from .heartbeats import Heartbeats
 from .placement_client import PlacementClient
 from .placement_coordinator import PlacementCoordinator
 from .snapshot_fetcher import SnapshotFetcher
 from .view import View
 
 _HEX: Final = 16
-# Largest number of neighbours to which each change of a server's load is sent;
-# every request costs two messages to each. In larger domains a server is
-# probed before each send instead.
-MAX_SHARING_NEIGHBOURS: Final = 8
 STRIKE_RESEND_DELAYS_S: Final = (0.3, 1.0)
 MAX_STRIKES_SENT: Final = 32  # to a new VM; the latest ones
 
@@ -51,12 +41,10 @@
 
 @attrs.define(eq=False, kw_only=True)
 class FleetLink:
-    """Send and receive heartbeats, loads and strikes."""
+    """Send and receive heartbeats, placements and strikes."""
 
     membership: Membership
     view: View
-    backends: BackendRegistry
-    pool: ConnectionPool
     quarantine: Quarantine
     placer: PlacementClient
     coordinator: PlacementCoordinator
@@ -65,27 +53,18 @@
     heartbeats: Heartbeats = attrs.field(init=False)
     snapshot_fetcher: SnapshotFetcher = attrs.field(init=False)
     _datagrams: Datagrams = attrs.field(init=False)
-    _load_batcher: LoadBatcher = attrs.field(init=False)
-    _load_receiver: LoadReceiver = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the message handlers."""
         self._datagrams = Datagrams(self._receive)
         me = self.membership.me.address
-        self._load_batcher = LoadBatcher(me, self._send_to_neighbours)
         self.snapshot_fetcher = SnapshotFetcher(me, self.view)
-        self._load_receiver = LoadReceiver(
-            membership=self.membership,
-            backends=self.backends,
-            pool=self.pool,
-        )
         self.heartbeats = Heartbeats(
             membership=self.membership,
             view=self.view,
             datagrams=self._datagrams,
             is_ready=self.is_ready,
             reads_store=self.reads_store,
-            on_heartbeat=self._resend_loads,
         )
 
     async def open(self) -> None:
@@ -101,24 +80,10 @@
         """Return the number of bytes sent to other VMs."""
         return self._datagrams.sent_bytes
 
-    @property
-    def shares_loads(self) -> bool:
-        """Return whether neighbours send each other their loads."""
-        return len(self.membership.neighbours()) <= MAX_SHARING_NEIGHBOURS
-
     def send(self, message: Message, addresses: list[str]) -> None:
         """Send a message to some VMs."""
         self._datagrams.send(message, addresses)
 
-    def load_changed(
-        self, candidate: Candidate, *, silent: bool = False
-    ) -> None:
-        """Share a server's load with the neighbours."""
-        if silent or self.shares_loads:
-            self._load_batcher.record_change(
-                candidate.name, candidate.load, silent=silent
-            )
-
     def broadcast_strike(self, fingerprint: str, server: str) -> None:
         """Send all VMs a strike against a request that crashed a server.
 
@@ -146,14 +111,6 @@
             self._send_strikes(message.member.address)
         self.snapshot_fetcher.fetch_if_newer(message.member)
 
-    @_receive.register
-    def _(self, message: LoadUpdate) -> None:
-        self._load_receiver.apply_update(message)
-        if message.relay:
-            self._send_to_neighbours(
-                LoadUpdate(message.sender, False, message.rows)
-            )
-
     @_receive.register
     def _(self, message: Strike) -> None:
         fingerprint = f'{message.fingerprint:08x}'
@@ -184,14 +141,3 @@
         for fingerprint, server in self.quarantine.strikes(MAX_STRIKES_SENT):
             message = Strike(int(fingerprint, _HEX), server)
             self._datagrams.send(message, [address])
-
-    def _send_to_neighbours(self, message: LoadUpdate) -> None:
-        self.heartbeats.send_to_some(message, ANNOUNCE_FANOUT)
-
-    def _resend_loads(self) -> None:
-        """Resend the counts of requests in flight; datagrams can be lost."""
-        if not self.shares_loads:
-            return
-        for _, candidate in self.backends.candidates():
-            if candidate.load.own_in_flight:
-                self.load_changed(candidate)
--- a/wagtailfork/gateway/heartbeats.py
+++ b/wagtailfork/gateway/heartbeats.py
@@ -13,7 +13,7 @@
 from ..fleet.datagrams import Datagrams
 from ..fleet.member import Member, MemberRow
 from ..fleet.members import HEARTBEAT_PERIOD_S, Membership
-from ..fleet.messages import Heartbeat, HeartbeatRequest, LoadUpdate
+from ..fleet.messages import Heartbeat, HeartbeatRequest
 from ..fleet.telling import GossipSelector
 from ..fleet.watch import FailureDetector
 from .view import View
@@ -35,7 +35,6 @@
     datagrams: Datagrams
     is_ready: Callable[[], bool]
     reads_store: Callable[[], bool]
-    on_heartbeat: Callable[[], None]
     _failure_detector: FailureDetector = attrs.field(init=False)
     _gossip: GossipSelector = attrs.field(init=False)
 
@@ -49,7 +48,6 @@
         while True:
             self.send_heartbeat()
             self._check_monitored()
-            self.on_heartbeat()
             await asyncio.sleep(HEARTBEAT_PERIOD_S)
 
     def send_heartbeat(self) -> None:
@@ -127,7 +125,7 @@
             request = HeartbeatRequest(self.membership.me)
             self.datagrams.send(request, [rows[0].address])
 
-    def send_to_some(self, message: Heartbeat | LoadUpdate, limit: int) -> None:
+    def send_to_some(self, message: Heartbeat, limit: int) -> None:
         """Send a message to a random choice of at most ``limit`` neighbours."""
         addresses = [one.address for one in self.membership.neighbours()]
         recipients = random.sample(addresses, min(limit, len(addresses)))
--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -25,7 +25,6 @@
 from .adapter import Adapter
 from .backend_registry import BackendRegistry, Topology
 from .crash_detector import CrashDetector
-from .digests import LoadDigests
 from .discovery import Discovery
 from .fleet_link import FleetLink
 from .forwarder import Forwarder
@@ -84,11 +83,12 @@
             self._on_view_changed,
         )
         self.coordinator = PlacementCoordinator(
-            self.backends.queue, self._send_to_vms
+            self.backends.queue,
+            self._send_to_vms,
+            self.membership.is_neighbour,
         )
         self.placer = PlacementClient(
             membership=self.membership,
-            shares_loads=self._shares_loads,
             find=self.backends.candidate,
             send=self._send_to_vms,
             log=self.log,
@@ -150,10 +150,9 @@
         self._stop.set()
 
     def reload(self, cfg: GatewaySettings) -> None:
-        """Apply the log limit, retry share and probe period of new settings."""
+        """Apply the log limit and the retry share of new settings."""
         self.log.lines_per_s = cfg.log_lines_per_s
         self.allowances.share = cfg.retries
-        self.prober.period_s = cfg.probe_period_s
         log_event(_logger, 'reloaded', lines_per_s=cfg.log_lines_per_s)
 
     async def run(self) -> None:
@@ -216,7 +215,6 @@
             placer=self.placer,
             dialect=self.adapter.dialect,
             log=self.log,
-            load_changed=self._load_changed,
             suspect_crash=self._suspect_crash,
             record_send=TrafficAccounting(
                 ledger=self.ledger,
@@ -229,8 +227,6 @@
         return FleetLink(
             membership=self.membership,
             view=self.view,
-            backends=self.backends,
-            pool=self.pool,
             quarantine=self.forwarder.quarantine,
             placer=self.placer,
             coordinator=self.coordinator,
@@ -242,32 +238,17 @@
         return Prober(
             view=self.view,
             backends=self.backends,
-            membership=self.membership,
             pool=self.pool,
             dialect=self.adapter.dialect,
-            topology=self.topology,
             log=self.log,
-            period_s=self.cfg.probe_period_s,
-            on_report=self._share_report,
-            shares_loads=self._shares_loads,
-        )
-
-    def _make_digests(self) -> LoadDigests:
-        return LoadDigests(
-            membership=self.membership,
-            backends=self.backends,
-            topology=self.topology,
-            link=self.link,
         )
 
     async def _supervise(self) -> None:
         supervisor = Supervisor('gateway')
         supervisor.add('heartbeats', self.link.heartbeats.run)
-        supervisor.add('digests', self._make_digests().run)
         supervisor.add('discovery', self.discovery.run)
         supervisor.add('configuration', self.source.follow_configuration)
         supervisor.add('servers', self.source.follow_servers)
-        supervisor.add('prober', self.prober.run)
         supervisor.add('sweeper', self._sweep)
         supervisor.add('ticker', self._tick)
         supervisor.add('traffic', self.ledger.run)
@@ -330,18 +311,6 @@
     def _send_to_vms(self, message: Message, addresses: list[str]) -> None:
         self.link.send(message, addresses)
 
-    def _shares_loads(self) -> bool:
-        return self.link.shares_loads
-
-    def _load_changed(self, candidate: Candidate) -> None:
-        self.link.load_changed(candidate)
-
-    def _share_report(self, candidate: Candidate, silent: bool) -> None:
-        self.link.load_changed(candidate, silent=silent)
-        server = self.backends.server(candidate.name)
-        if server is not None:
-            self.backends.queue(server.service).schedule_dispatch()
-
     def _suspect_crash(self, fingerprint: str, server: str) -> None:
         self.crash_detector.check_server(fingerprint, server)
 
--- a/wagtailfork/gateway/placement_client.py
+++ b/wagtailfork/gateway/placement_client.py
@@ -13,7 +13,7 @@
 
 from ..core.clock import now_s
 from ..core.event_log import EventLog
-from ..fleet.load_sharing import make_row
+from ..fleet.load_rows import make_row
 from ..fleet.member import rendezvous
 from ..fleet.members import Membership
 from ..fleet.messages import Message
@@ -64,7 +64,6 @@
     """Place requests through coordinators, or by an own choice."""
 
     membership: Membership
-    shares_loads: Callable[[], bool]
     find: Callable[[str], Candidate | None]  # a server by its name
     send: Send
     log: EventLog
@@ -75,12 +74,7 @@
     )
 
     def coordinator_of(self, service: str) -> str:
-        """Return the coordinator of a service, empty if there is none.
-
-        Small domains have none: their VMs report each request to all others.
-        """
-        if self.shares_loads():
-            return ''
+        """Return the coordinator of a service, empty if no VM is ready."""
         me = self.membership.me
         ready = [
             one.address for one in self.membership.neighbours() if one.ready
@@ -108,12 +102,11 @@
         queue.release(candidate)
         if not placement.coordinator:
             return
-        row = make_row(candidate.name, candidate.load, now_s())
         ended = PlacementEnded(
             sender=self.membership.me.address,
             number=placement.number,
             outcome=outcome,
-            load=row,
+            load=make_row(candidate.load.report, now_s()),
         )
         recipients = [placement.coordinator]
         self.send(ended, recipients)
--- a/wagtailfork/gateway/placement_coordinator.py
+++ b/wagtailfork/gateway/placement_coordinator.py
@@ -14,8 +14,7 @@
 import attrs
 
 from ..core.clock import now_s
-from ..fleet.load_rows import LoadRow
-from ..fleet.load_sharing import parse_report
+from ..fleet.load_rows import restore_report
 from ..fleet.messages import Message
 from ..fleet.placement_messages import (
     Outcome,
@@ -55,6 +54,7 @@
 
     queue_of: Callable[[str], ServiceQueue]
     send: Send
+    is_neighbour: Callable[[str], bool]  # a live VM of the failure domain
     _placements: dict[_Key, _Placement] = attrs.field(factory=dict)
 
     @property
@@ -84,16 +84,16 @@
         if candidate is not None:
             now = now_s()
             if message.load is not None:
-                _record_load(candidate, message.load, now)
+                candidate.load.record_report(restore_report(message.load, now))
             _record_outcome(candidate.load, message.outcome, now)
         self._release(key)
 
     def remove_expired(self, now: float) -> None:
-        """Free the slots whose return was lost."""
+        """Free the slots whose return was lost, and those of lost VMs."""
         expired = [
             key
             for key, placement in self._placements.items()
-            if now >= placement.expires_at_s
+            if now >= placement.expires_at_s or not self.is_neighbour(key[0])
         ]
         for key in expired:
             self._release(key)
@@ -159,12 +159,6 @@
     )
 
 
-def _record_load(candidate: Candidate, row: LoadRow, now: float) -> None:
-    report = parse_report(row, now)
-    if report is not None and row.server == candidate.name:
-        candidate.load.record_report(report)
-
-
 def _record_outcome(load: ServerLoad, outcome: Outcome, now: float) -> None:
     if outcome is Outcome.unreachable:
         load.eject(now)
--- a/wagtailfork/gateway/sender.py
+++ b/wagtailfork/gateway/sender.py
@@ -27,7 +27,6 @@
 _MIN_TIMEOUT_S: Final = 0.001
 _UNREACHABLE_REASONS: Final = frozenset(('connect_failed', 'other_server'))
 
-LoadChanged = Callable[[Candidate], None]
 # Records a finished send: call, server, outcome, size of the response body.
 RecordSend = Callable[[Call, Candidate, str, int], None]
 
@@ -40,7 +39,6 @@
     placer: PlacementClient
     dialect: Dialect
     log: EventLog
-    load_changed: LoadChanged
     suspect_crash: Callable[[str, str], None]
     record_send: RecordSend
     service_times: ServiceTimes = attrs.field(factory=ServiceTimes)
@@ -61,14 +59,12 @@
         candidate = placement.candidate
         call.coordinator = placement.coordinator
         call.queued.excluded.add(candidate.name)
-        self.load_changed(candidate)
         outcome = Outcome.unknown
         try:
             result = await self._send_to_server(call, candidate)
             outcome = _outcome_of(result)
         finally:
             self.placer.end(placement, call.queue, outcome)
-            self.load_changed(candidate)
         return result
 
     async def _send_to_server(
--- a/wagtailfork/routing/load.py
+++ b/wagtailfork/routing/load.py
@@ -7,7 +7,6 @@
 from ..core.clock import now_s
 
 REPORT_VALID_S: Final = 0.4  # slowdowns on shared VMs are shorter
-NEIGHBOUR_COUNTS_VALID_S: Final = 1.0  # five times the period of the counts
 # Half the time for which a slowdown on a shared VM lasts.
 SLOWNESS_HALF_LIFE_S: Final = 0.15
 SLOW_THRESHOLD: Final = 1.5  # slowness above which a server counts as slow
@@ -76,7 +75,7 @@
 
 @attrs.define(eq=False)
 class ServerLoad:
-    """Combine own requests, those of neighbour VMs and reports for one server.
+    """Combine the requests placed here and the reports of one server.
 
     >>> load = ServerLoad(slots=4)
     >>> load.begin(); load.begin()
@@ -90,8 +89,6 @@
 
     slots: int
     own_in_flight: int = 0
-    neighbours: dict[str, int] = attrs.field(factory=dict)
-    neighbours_at_s: float = 0
     report: LoadReport | None = None
     error_share: float = 0
     ejected_until_s: float = 0
@@ -111,16 +108,6 @@
         """Count a request ended."""
         self.own_in_flight -= 1
 
-    def record_neighbour(self, vm: str, in_flight: int, now: float) -> None:
-        """Store another VM's count of requests in flight at the server."""
-        self.neighbours_at_s = now
-        previous = self.neighbours.get(vm, 0)
-        self._begun_since_report += max(0, in_flight - previous)
-        if in_flight:
-            self.neighbours[vm] = in_flight
-        else:
-            self.neighbours.pop(vm, None)
-
     def record_report(self, report: LoadReport) -> bool:
         """Store a report; return False if a newer one is stored already."""
         if self.report is not None and report.at_s <= self.report.at_s:
@@ -133,11 +120,6 @@
     def estimated_requests(self, now: float) -> int:
         """Estimate the requests at the server, running or queued there."""
         known = self.own_in_flight
-        if self.neighbours:
-            if now - self.neighbours_at_s > NEIGHBOUR_COUNTS_VALID_S:
-                # The neighbour failed, or its last message was lost.
-                self.neighbours.clear()
-            known += sum(self.neighbours.values())
         report = self.report
         if report is None or now - report.at_s > REPORT_VALID_S:
             return known
--- a/wagtailfork/routing/server_table.py
+++ b/wagtailfork/routing/server_table.py
@@ -219,4 +219,4 @@
         # VMs of the server's own failure domain send it the first request.
         return False
     load = candidate.load
-    return not (load.started or load.neighbours or load.failing(now))
+    return not (load.started or load.failing(now))
