--- a/wagtailfork/bench/gateway.py
+++ b/wagtailfork/bench/gateway.py
@@ -17,6 +17,7 @@
 from ..standin.documents import make_configuration, make_entry
 from .measurements import Measurement, time_us
 from .membership import make_member, make_simulated_fleet
+from .placements import measure_placements
 
 SERVER_COUNTS: Final = (1000, 4000, 14000)
 SERVICE_SIZES: Final = (7, 20, 100)
@@ -166,6 +167,7 @@
         measurements.extend(measure_configuration(routes))
     for servers in SERVICE_SIZES:
         measurements.extend(measure_choice(servers))
+        measurements.extend(measure_placements(servers))
     for members in FLEET_SIZES:
         measurements.extend(measure_members(members))
     for vms in DOMAIN_SIZES:
