--- a/wagtailfork/bench/gateway.py
+++ b/wagtailfork/bench/gateway.py
@@ -15,7 +15,7 @@
 from ..routing.queued_request import QueuedRequest
 from ..routing.server_table import ServerTable
 from ..standin.documents import make_configuration, make_entry
-from .measurements import Measurement, time_us
+from .measurements import Measurement, make_measurement, time_us
 from .membership import make_member, make_simulated_fleet
 from .placements import measure_placements
 
@@ -44,23 +44,23 @@
     one_change = view.snapshot(0, size)
     whole = view.snapshot(0, -1)
     return [
-        _measurement('table of servers', size, used_bytes, 'bytes'),
-        _measurement(
+        make_measurement('table of servers', size, used_bytes, 'bytes'),
+        make_measurement(
             'whole snapshot', size, len(render_snapshot(whole)), 'bytes'
         ),
-        _measurement(
+        make_measurement(
             'one change', size, len(render_snapshot(one_change)), 'bytes'
         ),
-        _measurement(
+        make_measurement(
             'no change', size, len(render_snapshot(no_change)), 'bytes'
         ),
-        _measurement(
+        make_measurement(
             'read a whole snapshot',
             size,
             time_us(lambda: parse_snapshot(render_snapshot(whole)), 1),
             'us',
         ),
-        _measurement(
+        make_measurement(
             'decode an entry',
             size,
             time_us(lambda: decode_server('a', make_entry(1)), _FEW_REPEATS),
@@ -74,8 +74,8 @@
     raw = make_configuration(routes)
     spent_us = time_us(lambda: decode_configuration(raw), 1)
     return [
-        _measurement('configuration', routes, len(raw), 'bytes'),
-        _measurement('decode a configuration', routes, spent_us, 'us'),
+        make_measurement('configuration', routes, len(raw), 'bytes'),
+        make_measurement('decode a configuration', routes, spent_us, 'us'),
     ]
 
 
@@ -89,7 +89,7 @@
         table.add(Candidate(f's{index}', '', load))
     queued = QueuedRequest(1, now + 3600, now + 7200, 0.1)
     spent_us = time_us(lambda: table.choose(queued, now), _MANY_REPEATS)
-    return [_measurement('choose a server', servers, spent_us, 'us')]
+    return [make_measurement('choose a server', servers, spent_us, 'us')]
 
 
 def measure_fleet(size: int) -> list[Measurement]:
@@ -104,10 +104,10 @@
     window_bytes = sum(vm.sent_bytes for vm in vms) - bytes_before
     window_datagrams = sum(vm.sent_datagrams for vm in vms) - datagrams_before
     return [
-        _measurement(
+        make_measurement(
             'bytes sent by a VM', size, window_bytes / vm_seconds, 'bytes/s'
         ),
-        _measurement(
+        make_measurement(
             'datagrams sent by a VM', size, window_datagrams / vm_seconds, '1/s'
         ),
     ]
@@ -127,14 +127,14 @@
         membership.merge(decoded.rows, 0)
 
     return [
-        _measurement('heartbeat', 4, len(raw), 'bytes'),
-        _measurement(
+        make_measurement('heartbeat', 4, len(raw), 'bytes'),
+        make_measurement(
             'encode it',
             4,
             time_us(lambda: encode(message), _MANY_REPEATS),
             'us',
         ),
-        _measurement(
+        make_measurement(
             'take it over', 4, time_us(merge_encoded, _MANY_REPEATS), 'us'
         ),
     ]
@@ -153,8 +153,8 @@
     tracemalloc.stop()
     spent_us = time_us(lambda: membership.count(0), _FEW_REPEATS)
     return [
-        _measurement('table of VMs', size, used_bytes, 'bytes'),
-        _measurement('count the living', size, spent_us, 'us'),
+        make_measurement('table of VMs', size, used_bytes, 'bytes'),
+        make_measurement('count the living', size, spent_us, 'us'),
     ]
 
 
@@ -173,7 +173,3 @@
     for vms in DOMAIN_SIZES:
         measurements.extend(measure_fleet(vms))
     return measurements
-
-
-def _measurement(what: str, size: int, figure: float, unit: str) -> Measurement:
-    return Measurement(what=what, size=size, figure=figure, unit=unit)
--- a/wagtailfork/bench/measurements.py
+++ b/wagtailfork/bench/measurements.py
@@ -29,6 +29,13 @@
         }
 
 
+def make_measurement(
+    what: str, size: int, figure: float, unit: str
+) -> Measurement:
+    """Return a measurement, in the order in which tables show its fields."""
+    return Measurement(what=what, size=size, figure=figure, unit=unit)
+
+
 def time_us(func: Callable[[], object], repeats: int = _REPEATS) -> float:
     """Return the lowest mean time of three rounds, in microseconds."""
     best_s = float('inf')
--- a/wagtailfork/bench/placements.py
+++ b/wagtailfork/bench/placements.py
@@ -17,7 +17,7 @@
 from ..routing.candidate import Candidate
 from ..routing.late_binding import ServiceQueue
 from ..routing.load import LoadReport, ServerLoad
-from .measurements import US_PER_S, Measurement
+from .measurements import US_PER_S, Measurement, make_measurement
 
 PLACEMENTS: Final = 2000
 _SENDER: Final = '10.97.0.1:7620'
@@ -40,19 +40,16 @@
             coordinator, encode(_request(number, names)), encode(_ended(number))
         )
     spent_us = (time.process_time() - started_s) / PLACEMENTS * US_PER_S
-    figures = {
-        'placement request': len(encode(_request(PLACEMENTS, names))),
-        'grant': len(granted[-1]),
-        'return of a slot': len(encode(_ended(PLACEMENTS))),
-    }
-    sizes = [
-        Measurement(what=what, size=servers, figure=size, unit='bytes')
-        for what, size in figures.items()
+    return [
+        make_measurement('place and take back', servers, spent_us, 'us'),
+        _size('placement request', servers, _request(PLACEMENTS, names)),
+        make_measurement('grant', servers, len(granted[-1]), 'bytes'),
+        _size('return of a slot', servers, _ended(PLACEMENTS)),
     ]
-    spent = Measurement(
-        what='place and take back', size=servers, figure=spent_us, unit='us'
-    )
-    return [spent, *sizes]
+
+
+def _size(what: str, servers: int, message: Message) -> Measurement:
+    return make_measurement(what, servers, len(encode(message)), 'bytes')
 
 
 def _make_coordinator(
