Tell how many requests wait at a coordinator, and forget silent ones

The notice that a request waits carries the queue's length, which the log line 'queued' shows as for a VM's own queue. A VM kept the address of every coordinator that was ever silent.

--- a/wagtailfork/fleet/placement_codec.py
+++ b/wagtailfork/fleet/placement_codec.py
@@ -54,7 +54,7 @@
 
 @render_placement.register
 def _(message: PlacementQueued) -> list[Any]:
-    return [_QUEUED_KIND, message.number]
+    return [_QUEUED_KIND, message.number, message.waiting]
 
 
 @render_placement.register
@@ -101,7 +101,7 @@
 
 
 def _parse_queued(parts: list[Any]) -> PlacementQueued:
-    return PlacementQueued(int(parts[0]))
+    return PlacementQueued(int(parts[0]), int(parts[1]))
 
 
 def _parse_declined(parts: list[Any]) -> PlacementDeclined:
--- a/wagtailfork/fleet/placement_messages.py
+++ b/wagtailfork/fleet/placement_messages.py
@@ -51,9 +51,10 @@
 
 @attrs.frozen
 class PlacementQueued:
-    """Report that a request waits for a slot."""
+    """Report that a request waits for a slot, and how many others do."""
 
     number: int
+    waiting: int
 
 
 @attrs.frozen
--- a/wagtailfork/gateway/placement_client.py
+++ b/wagtailfork/gateway/placement_client.py
@@ -170,6 +170,7 @@
                 self._record_silence(coordinator, queue.service)
                 return None
             if isinstance(decision, PlacementQueued):
+                queued.on_queued(decision.waiting)
                 decision = await _next_decision(waiter)
         return self._apply_decision(coordinator, decision, queued)
 
@@ -200,7 +201,13 @@
         self.send(ended, [coordinator])
 
     def _record_silence(self, coordinator: str, service: str) -> None:
-        self._silent_until_s[coordinator] = now_s() + SILENCE_S
+        now = now_s()
+        self._silent_until_s = {
+            address: until_s
+            for address, until_s in self._silent_until_s.items()
+            if now < until_s
+        }
+        self._silent_until_s[coordinator] = now + SILENCE_S
         self.log.emit(
             'coordinator_silent', service=service, coordinator=coordinator
         )
--- a/wagtailfork/gateway/placement_coordinator.py
+++ b/wagtailfork/gateway/placement_coordinator.py
@@ -69,7 +69,7 @@
         if placement is None:
             self._start(key, message)
         elif placement.candidate is None:
-            self.send(PlacementQueued(message.number), [message.sender])
+            self._notify(key, placement)
         else:
             granted = Placed(message.number, placement.candidate.name)
             self.send(granted, [message.sender])
@@ -118,16 +118,16 @@
     async def _place(
         self, key: _Key, placement: _Placement, queued: QueuedRequest
     ) -> None:
-        sender, number = key
         notice = asyncio.get_running_loop().call_later(
-            QUEUED_NOTICE_S, self.send, PlacementQueued(number), [sender]
+            QUEUED_NOTICE_S, self._notify, key, placement
         )
         try:
             candidate = await placement.queue.acquire(queued)
         except Refused as exc:
             self._placements.pop(key, None)
             retry_ms = round(exc.retry_after_s * _MS)
-            self.send(PlacementDeclined(number, exc.reason, retry_ms), [sender])
+            declined = PlacementDeclined(key[1], exc.reason, retry_ms)
+            self.send(declined, [key[0]])
             return
         finally:
             notice.cancel()
@@ -136,7 +136,12 @@
             placement.queue.release(candidate)
             return
         placement.candidate = candidate
-        self.send(Placed(number, candidate.name), [sender])
+        self.send(Placed(key[1], candidate.name), [key[0]])
+
+    def _notify(self, key: _Key, placement: _Placement) -> None:
+        sender, number = key
+        notice = PlacementQueued(number, placement.queue.waiting)
+        self.send(notice, [sender])
 
     def _release(self, key: _Key) -> None:
         placement = self._placements.pop(key)
