--- a/wagtailfork/tests/rig_tools.py
+++ b/wagtailfork/tests/rig_tools.py
@@ -1,10 +1,13 @@
 """Port allocation, waiting and replies for the rig."""
 
 import asyncio
+import fcntl
 import itertools
 import json
 import os
+import pathlib
 import socket
+import tempfile
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -18,10 +21,30 @@
 _port_offsets = itertools.count(os.getpid() * 101)
 
 
+_LOCK_FILE = pathlib.Path(tempfile.gettempdir(), 'wagtailfork-test-ports')
+# Open until the process ends, which releases its locks.
+_port_locks = _LOCK_FILE.open('ab')
+
+
+def _reserve(offset: int) -> bool:
+    """Lock the byte of a port, so that no other run of tests takes it."""
+    try:
+        fcntl.lockf(_port_locks, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, offset)
+    except OSError:
+        return False
+    return True
+
+
 def free_port() -> int:
-    """Return an unused port outside the kernel's ephemeral range."""
+    """Return an unused port outside the kernel's ephemeral range.
+
+    No other process gets it from this function while this process runs.
+    """
     while True:
-        port = _FIRST_PORT + next(_port_offsets) % _PORT_COUNT
+        offset = next(_port_offsets) % _PORT_COUNT
+        if not _reserve(offset):
+            continue
+        port = _FIRST_PORT + offset
         with socket.socket() as sock:
             try:
                 sock.bind((HOST, port))
