Log the limits that servers name and the limit known at each send

During the server limit incident no log line and no metric named a limit, so hypotheses about who knew what could not be told apart.

Read Server-Limit from responses and probes, log each change with its source, add the known limit to sent lines and count limited servers on the metrics page. Nothing decides by it yet; the header no longer goes on to callers.

--- a/wagtailfork/gateway/dialect.py
+++ b/wagtailfork/gateway/dialect.py
@@ -8,6 +8,7 @@
 from ..http1.request import CallerRequest
 from ..http1.responses import BackendResponse
 from ..routing.load import LoadReport
+from ..routing.server_limit import NO_LIMIT
 
 
 @attrs.frozen(kw_only=True)
@@ -29,6 +30,8 @@
     encoded: bool = False
     server: str | None = None
     load: LoadReport | None = None
+    # Requests a second that the server accepts; None if unreadable.
+    limit: float | None = NO_LIMIT
 
 
 class Dialect(Protocol):
--- a/wagtailfork/gateway/metrics.py
+++ b/wagtailfork/gateway/metrics.py
@@ -89,6 +89,7 @@
     now = now_s()
     usage = node.source.usage
     view = node.view
+    limited = sum(one.limit.is_named for _, one in node.backends.candidates())
     return [
         ('wagtailfork_config_version', 'Version in force', view.version),
         (
@@ -114,6 +115,7 @@
             'Opened to servers',
             node.pool.opened_count,
         ),
+        ('wagtailfork_limited_servers', 'Servers that name a limit', limited),
         ('wagtailfork_log_left_out', 'Lines left out', node.log.dropped_lines),
     ]
 
--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -28,6 +28,7 @@
 from .discovery import Discovery
 from .fleet_link import FleetLink
 from .forwarder import Forwarder
+from .limit_recorder import LimitRecorder
 from .meters import Meters
 from .placement_client import PlacementClient
 from .placement_coordinator import PlacementCoordinator
@@ -62,6 +63,7 @@
         self.log = EventLog(lines_per_s=cfg.log_lines_per_s, vm=cfg.vm)
         self.pool = ConnectionPool()
         self.meters = Meters()
+        self.limits = LimitRecorder(self.log)
         self.draining = False
         self._stop = asyncio.Event()
         self._announce_timer: asyncio.TimerHandle | None = None
@@ -216,6 +218,7 @@
             dialect=self.adapter.dialect,
             log=self.log,
             suspect_crash=self._suspect_crash,
+            limits=self.limits,
             record_send=TrafficAccounting(
                 ledger=self.ledger,
                 meters=self.meters,
@@ -241,6 +244,7 @@
             pool=self.pool,
             dialect=self.adapter.dialect,
             log=self.log,
+            limits=self.limits,
         )
 
     async def _supervise(self) -> None:
--- a/wagtailfork/gateway/prober.py
+++ b/wagtailfork/gateway/prober.py
@@ -18,6 +18,7 @@
 from ..routing.load import report_now
 from .backend_registry import BackendRegistry
 from .dialect import Dialect
+from .limit_recorder import LimitRecorder
 from .model import BackendServer
 from .view import View
 
@@ -35,6 +36,7 @@
     pool: ConnectionPool
     dialect: Dialect
     log: EventLog
+    limits: LimitRecorder
     probes: int = 0
 
     async def refresh_load(self, candidate: Candidate) -> bool:
@@ -121,6 +123,7 @@
         if metadata.server not in {None, server.name}:
             candidate.load.eject(now_s())
             return True
+        self.limits.record_probe(candidate, metadata.limit)
         if metadata.load is None:
             return False
         candidate.load.unanswered_probes = 0
--- a/wagtailfork/gateway/sender.py
+++ b/wagtailfork/gateway/sender.py
@@ -19,6 +19,7 @@
 from ..routing.work_time import ServiceTimes
 from .call import Call, SendResult
 from .dialect import Dialect, ResponseMetadata
+from .limit_recorder import LimitRecorder
 from .placement_client import Placement, PlacementClient
 
 CONNECT_TIMEOUT_S: Final = 0.4  # six round trips between regions
@@ -41,6 +42,7 @@
     log: EventLog
     suspect_crash: Callable[[str, str], None]
     record_send: RecordSend
+    limits: LimitRecorder
     service_times: ServiceTimes = attrs.field(factory=ServiceTimes)
 
     async def send(self, call: Call) -> SendResult:
@@ -126,6 +128,7 @@
             waited_ms=(started_s - req.arrived_s) * 1000,
             attempt=call.sends,
             coordinator=call.coordinator or 'none',
+            limit=candidate.limit.requests_per_s,
         )
         slowness = candidate.load.slowness(started_s)
         full = _is_full(candidate, started_s)
@@ -220,6 +223,9 @@
         now = now_s()
         if metadata.load is not None:
             candidate.load.record_report(metadata.load)
+        self.limits.record_response(
+            candidate, metadata.limit, call.metadata.request_id
+        )
         if metadata.not_run:
             result.reason = 'other_server' if metadata.other_server else 'shed'
             candidate.load.record_outcome(now, failed=True)
--- a/wagtailfork/platform/headers.py
+++ b/wagtailfork/platform/headers.py
@@ -1,5 +1,6 @@
 """Headers of callers and backend servers on the platform."""
 
+import math
 from typing import Final
 
 import attrs
@@ -9,6 +10,7 @@
 from ..http1.request import CallerRequest
 from ..http1.responses import BackendResponse
 from ..routing.load import LoadReport, report_now
+from ..routing.server_limit import NO_LIMIT
 
 _MS_PER_S: Final = 1000
 _MISDIRECTED: Final = 421
@@ -24,10 +26,11 @@
 _SIGNATURE: Final = b'server-signature'
 _NOT_EXECUTED: Final = b'not-executed'
 _LOAD: Final = b'server-load'
+_LIMIT: Final = b'server-limit'
 _INSTANCE: Final = b'instance-id'
 
 _FROM_CALLER: Final = frozenset((_DEADLINE, _TARGET))
-_FROM_SERVER: Final = frozenset((_LOAD, _INSTANCE, _NOT_EXECUTED))
+_FROM_SERVER: Final = frozenset((_LOAD, _LIMIT, _INSTANCE, _NOT_EXECUTED))
 
 
 def parse_load_report(text: bytes) -> LoadReport | None:
@@ -57,6 +60,21 @@
     )
 
 
+def parse_limit(text: bytes | None) -> float | None:
+    """Parse a limit in requests a second; None if it is no valid number.
+
+    >>> parse_limit(b'4.9'), parse_limit(None), parse_limit(b'nan')
+    (4.9, inf, None)
+    """
+    if text is None:
+        return NO_LIMIT
+    try:
+        limit = float(text)
+    except ValueError:
+        return None
+    return limit if math.isfinite(limit) and limit >= 0 else None
+
+
 def _text(raw: bytes | None) -> str | None:
     return None if raw is None else raw.decode('latin-1')
 
@@ -88,6 +106,7 @@
             encoded=response.find(b'content-encoding') is not None,
             server=_text(response.find(_INSTANCE)),
             load=None if load is None else parse_load_report(load),
+            limit=parse_limit(response.find(_LIMIT)),
         )
 
     def render_request(
--- a/wagtailfork/routing/candidate.py
+++ b/wagtailfork/routing/candidate.py
@@ -5,6 +5,7 @@
 import attrs
 
 from .load import ServerLoad
+from .server_limit import ServerLimit
 from .worth import Distance
 
 # A report up to this age is used without a probe. A twelfth of the time for
@@ -27,6 +28,7 @@
     reports_load: bool = True  # False once a probe returned no load
     new_until_s: float = 0
     connected_until_s: float = 0  # until then, an idle connection is reusable
+    limit: ServerLimit = attrs.field(factory=ServerLimit)
 
     def needs_probe(self, now: float) -> bool:
         """Return whether to probe the server before sending a request."""
