--- a/wagtailfork/standin/scripted_backend.py
+++ b/wagtailfork/standin/scripted_backend.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from ..core.clock import now_s
+
 _HEAD_END: Final = b'\r\n\r\n'
 _HEALTH_PATH: Final = '/health'
 
@@ -19,6 +21,7 @@
     path: str
     headers: dict[str, str]
     body: bytes
+    at_s: float = attrs.field(factory=now_s)  # when it had arrived
 
 
 Writer = asyncio.StreamWriter
@@ -132,6 +135,7 @@
     slots: int = 4
     service_s: float = 0.005
     slowness_percent: int = 100
+    limit_per_s: float | None = None  # requests a second, if it names a limit
     script: Script = serve_request
     prelude: Script = _send_nothing  # before each response, probes included
     runs: list[ReceivedRequest] = attrs.field(factory=list)
@@ -150,8 +154,11 @@
         return f'{host}:{port}'
 
     def load_header(self) -> str:
-        """Render the load report header."""
-        return f'Server-Load: 0,0,{self.slots},{self.slowness_percent}\r\n'
+        """Render the headers for the load and for the limit, if any."""
+        load = f'Server-Load: 0,0,{self.slots},{self.slowness_percent}\r\n'
+        if self.limit_per_s is None:
+            return load
+        return f'{load}Server-Limit: {self.limit_per_s}\r\n'
 
     async def start(self) -> None:
         """Listen on a free loopback port."""
