Use a free server of the next domain before a wait for one's own

Requests waited, and were refused while they waited, although servers of the next failure domain were free: the choice compared the wait for a server with the price of the neighbour's bytes as if nobody else waited. Under limits a queue stood for the next turn of its own servers and left 2 of 10 turns of its neighbours' unused.

A server that is not free now has to be better than any free one by WAIT_COST, a tenth of the value of an answer in time; a neighbour whose bytes cost more is still not used.

The first of the two tests failed before ('next' != 's0').

--- a/wagtailfork/routing/server_table.py
+++ b/wagtailfork/routing/server_table.py
@@ -21,6 +21,8 @@
 MAX_DRAWN: Final = 32
 # Cost of a new connection, in utility.
 CONNECTED_BONUS: Final = 0.017
+# Utility that the wait for a server costs other requests; they wait as well.
+WAIT_COST: Final = 0.1
 NEW_SERVER_BONUS: Final = 0.4  # so that a new server gets requests soon
 
 
@@ -85,7 +87,8 @@
         """Return the server with the highest utility, None if there is none.
 
         A more distant tier is forecast only while no nearer server that is free
-        exceeds ``SUFFICIENT_UTILITY``.
+        exceeds ``SUFFICIENT_UTILITY``. A server that is not free has to be
+        better than any free one by ``WAIT_COST``.
         """
         profile = queued.profile(now)
         best: Choice | None = None
@@ -96,7 +99,7 @@
             ]
             if best is not None:
                 choices.append(best)
-            best = max(choices, key=lambda choice: choice.utility, default=None)
+            best = max(choices, key=_preference, default=None)
             if (
                 best is not None
                 and best.free
@@ -157,6 +160,10 @@
         return self._tier_cache
 
 
+def _preference(choice: Choice) -> float:
+    return choice.utility if choice.free else choice.utility - WAIT_COST
+
+
 def _is_eligible(candidate: Candidate, queued: QueuedRequest) -> bool:
     return not candidate.draining and candidate.name not in queued.excluded
 
--- a/wagtailfork/routing/tests/test_server_table.py
+++ b/wagtailfork/routing/tests/test_server_table.py
@@ -8,6 +8,7 @@
 from ..load import LoadReport, ServerLoad
 from ..queued_request import QueuedRequest
 from ..server_table import MAX_DRAWN, ServerTable
+from ..worth import Distance
 
 NOW = 100.0
 
@@ -77,3 +78,27 @@
         for candidate in table.servers.values():
             candidate.draining = True
         self.assertEqual('', chosen(table))
+
+
+class TestNeighbours(testtools.TestCase):
+    """Test the choice between a wait here and a free server next door."""
+
+    def test_free_neighbour_goes_before_a_wait(self) -> None:
+        """The price of its bytes is paid, as the wait costs others as well."""
+        self.assertEqual('next', self._choose(price_per_kb=0.04))
+
+    def test_wait_goes_before_an_expensive_neighbour(self) -> None:
+        """A neighbour whose bytes cost more than the wait is not used."""
+        self.assertEqual('s0', self._choose(price_per_kb=0.4))
+
+    def _choose(self, price_per_kb: float) -> str:
+        table = make_table(1)
+        full = LoadReport(4, 0, 4, 1.0, NOW + 0.01)
+        table.servers['s0'].load.record_report(full)
+        load = ServerLoad(slots=4)
+        load.record_report(LoadReport(0, 0, 4, 1.0, NOW))
+        distance = Distance(
+            round_trip_s=0.003, price_per_kb=price_per_kb, reach='region'
+        )
+        table.add(Candidate('next', '', load, distance))
+        return chosen(table)
