Refuse requests that a stopping VM could not finish

In a planned stop a request whose body ended late in the grace was passed on and cut off without an answer at the end, payments among them.

Cause: the stop looked at connections only; whatever a connection that had begun a request brought later was sent. Once callers have no reason to come any more (stop_accepts_s), a request is now sent only if its deadline passes before the process ends; else it is refused at once, not run, retry after 0.05 s, and the other VMs serve it. It holds for second sends as well. Ruled out: shorter deadlines for such requests, which would break off runs.

The test saw the connection close without a byte before (b''), and a 503 without a run now.

--- a/wagtailfork/explain/causes.py
+++ b/wagtailfork/explain/causes.py
@@ -18,6 +18,7 @@
     'unknown_service': 'no route of the current configuration matches it',
     'quarantined': 'requests like it have crashed two servers',
     'deadline_passed': 'its deadline passed before a server was free',
+    'stopping': 'this VM was stopping and could have been cut off with it',
 }
 _SLOW_FACTOR: Final = 2.0  # of the usual time; a slower server is reported
 
--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -33,6 +33,7 @@
 from .meters import Meters
 from .placement_client import PlacementClient
 from .placement_coordinator import PlacementCoordinator
+from .planned_stop import PlannedStop
 from .prober import Prober
 from .reader_election import ReaderElection, start_of_reading_s
 from .responder import Responder
@@ -66,6 +67,7 @@
         self.meters = Meters()
         self.limits = LimitRecorder(self.log, self._update_limit_shares)
         self.draining = False
+        self.planned_stop = PlannedStop.from_settings(cfg)
         self._stop = asyncio.Event()
         self._announce_timer: asyncio.TimerHandle | None = None
         self._changed_by_store = False  # not only by other VMs
@@ -224,6 +226,7 @@
             log=self.log,
             suspect_crash=self._suspect_crash,
             limits=self.limits,
+            planned_stop=self.planned_stop,
             record_send=TrafficAccounting(
                 ledger=self.ledger,
                 meters=self.meters,
--- a/wagtailfork/gateway/sender.py
+++ b/wagtailfork/gateway/sender.py
@@ -20,9 +20,11 @@
 from .call import Call, SendResult
 from .dialect import Dialect, ResponseMetadata
 from .limit_recorder import LimitRecorder
+from .planned_stop import PlannedStop
 from .placement_client import Placement, PlacementClient
 
 CONNECT_TIMEOUT_S: Final = 0.4  # six round trips between regions
+STOPPING_RETRY_AFTER_S: Final = 0.05  # other VMs are ready now
 _SERVER_ERROR: Final = 500
 _SUCCESS: Final = frozenset(range(200, 300))  # noqa: WPS432
 _MIN_TIMEOUT_S: Final = 0.001
@@ -43,12 +45,15 @@
     suspect_crash: Callable[[str, str], None]
     record_send: RecordSend
     limits: LimitRecorder
+    planned_stop: PlannedStop
     service_times: ServiceTimes = attrs.field(factory=ServiceTimes)
 
     async def send(self, call: Call) -> SendResult:
         """Send a request once and return how the attempt ended."""
         call.tries += 1
         call.queued.on_queued = functools.partial(self._log_queued, call)
+        if not self.planned_stop.may_send(call.deadline_at_s, now_s()):
+            return _refuse_stopping()
         try:
             placement = await self.placer.place(call.queue, call.queued)
         except Refused as exc:
@@ -72,6 +77,8 @@
     async def _send_to_server(
         self, call: Call, candidate: Candidate
     ) -> SendResult:
+        if not self.planned_stop.may_send(call.deadline_at_s, now_s()):
+            return _refuse_stopping()
         try:
             conn = await self.pool.acquire(
                 candidate.address,
@@ -260,6 +267,11 @@
         candidate.load.record_outcome(now, failed=failed)
 
 
+def _refuse_stopping() -> SendResult:
+    refusal = Refused('stopping', STOPPING_RETRY_AFTER_S)
+    return SendResult(reason=refusal.reason, refusal=refusal)
+
+
 def _outcome_of(result: SendResult) -> Outcome:
     """Return what the attempt tells about the server."""
     if result.reason in _UNREACHABLE_REASONS:
--- a/wagtailfork/gateway/shutdown.py
+++ b/wagtailfork/gateway/shutdown.py
@@ -11,6 +11,7 @@
 from ..http1.server import CallerServer
 from ..traffic.ledger import Ledger
 from .fleet_link import FleetLink
+from .planned_stop import PlannedStop
 
 POLL_INTERVAL_S: Final = 0.05  # for checking the requests in progress
 FLUSH_TIMEOUT_S: Final = 0.4  # for appending the last traffic sums to the store
@@ -23,6 +24,7 @@
 
     cfg: GatewaySettings
     draining: bool
+    planned_stop: PlannedStop
     ledger: Ledger
     callers: CallerServer
     link: FleetLink
@@ -36,6 +38,7 @@
     """
     started_s = now_s()
     node.draining = True
+    node.planned_stop.begin(started_s)
     node.callers.draining = True
     log_event(_logger, 'leaving', busy=node.callers.busy())
     node.link.heartbeats.announce()
--- a/wagtailfork/gateway/tests/rig.py
+++ b/wagtailfork/gateway/tests/rig.py
@@ -135,6 +135,12 @@
         self._running[node.cfg.vm].cancel()
         node.link.close()
 
+    async def end_process(self, node: GatewayNode) -> None:
+        """Wait for the end of a stop; close what the process would close."""
+        await self._running[node.cfg.vm]
+        for conn in list(node.callers.connections):
+            conn.abort()
+
     async def call(
         self,
         path: str,
--- a/wagtailfork/gateway/tests/test_planned_stop.py
+++ b/wagtailfork/gateway/tests/test_planned_stop.py
@@ -1,18 +1,27 @@
 """A planned stop under load, as callers and backend servers see it."""
 
 import asyncio
+import contextlib
 
 import testtools
 
 from ...http1.backend import connect
 from ...http1.headers import render_head
 from ...http1.responses import RequestNotSent, ResponseError
-from .rig import HOST, LIMIT_S, Rig, run_scenario
+from ...standin.documents import make_route
+from .rig import CONFIG_TOPIC, HOST, LIMIT_S, Rig, make_config, run_scenario
 
 CONNECTIONS = 20  # kept open by callers, as long as the VM keeps them
 SERVICE_S = 0.05
 NEW_CALLS = 60  # on new connections, while they are still accepted
 ACCEPTS_S = 0.6
+GRACE_S = 2.4
+LONG_SERVICE_S = 2.5  # longer than what is left of the grace
+LATE_BODY = b'x'
+LATE_HEAD = (
+    f'POST /pay/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: late\r\n'
+    f'Request-Deadline-Ms: 9000\r\nContent-Length: 1\r\n\r\n'
+).encode()
 
 
 class TestStopUnderLoad(testtools.TestCase):
@@ -52,6 +61,46 @@
         self.assertEqual(set(), ran - answered)
 
 
+class TestLateRequests(testtools.TestCase):
+    """A request that cannot end before the process does is not sent."""
+
+    def test_request_late_in_the_grace_is_refused(self) -> None:
+        """It was sent, and cut off without an answer at the end."""
+        run_scenario(self._send_late)
+
+    async def _send_late(self, rig: Rig) -> None:
+        await rig.start(backends=2, gateways=0)
+        for backend in rig.backends.values():
+            backend.service_s = LONG_SERVICE_S
+        route = make_route(pathPrefix='/pay/', type='unsafe', timeoutMs=9000)
+        rig.store.put(CONFIG_TOPIC, 'config', make_config(2, pay=route))
+        rig.add_gateway('vm0', stop_accepts_s=ACCEPTS_S, stop_grace_s=GRACE_S)
+        await rig.until(lambda: all(node.is_ready() for node in rig.nodes))
+        node = rig.nodes[0]
+        reader, writer = await open_connection(node.cfg.caller_address)
+        node.request_stop()
+        await asyncio.sleep(ACCEPTS_S / 2)
+        answer = b''
+        writer.write(LATE_HEAD)
+        await asyncio.sleep(ACCEPTS_S)
+        writer.write(LATE_BODY)
+        end = asyncio.create_task(rig.end_process(node))
+        with contextlib.suppress(ConnectionError):
+            answer = await asyncio.wait_for(reader.read(), LIMIT_S)
+        await end
+        writer.close()
+        self.assertTrue(answer.startswith(b'HTTP/1.1 503 '), answer[:40])
+        self.assertEqual([], rig.runs())
+
+
+async def open_connection(
+    address: str,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Connect to an address."""
+    host, _, port = address.rpartition(':')
+    return await asyncio.open_connection(host, int(port))
+
+
 async def _keep_calling(rig: Rig, name: str, answered: set[str]) -> None:
     """Send requests on one connection until the VM closes it."""
     address = rig.nodes[0].cfg.caller_address
