Send distant servers more than one request at a time again

Seen while reading the mend of the limits, not at callers: a server of another region gets one request at a time until its first response, which could name a limit. A coordinator that placed requests of other VMs only never heard of a response there and kept it at one for good.

A slot that is returned after a response now tells it. The test with one calling VM saw at most one request at once before (1 not greater than 1).

--- a/wagtailfork/gateway/limit_recorder.py
+++ b/wagtailfork/gateway/limit_recorder.py
@@ -25,6 +25,7 @@
         self, candidate: Candidate, limit: float | None, request_id: str
     ) -> None:
         """Record what the response to a request tells of the limit."""
+        candidate.has_responded = True
         if limit is None:
             self.log.emit(
                 'limit_unreadable',
--- a/wagtailfork/gateway/limit_shares.py
+++ b/wagtailfork/gateway/limit_shares.py
@@ -34,9 +34,18 @@
     placer: PlacementClient
     queues: Mapping[str, ServiceQueue]  # by service
     regions: Mapping[str, str]  # failure domain to region
+    _any_named: bool = False
+
+    def apply_change(self, now: float) -> None:
+        """Set the shares after a server named another limit."""
+        self._any_named = True
+        self.update(now)
 
     def update(self, now: float) -> None:
         """Set the shares of all servers that name a limit."""
+        if not self._any_named:
+            return
+        self._any_named = False
         domains = self.membership.domains()
         for queue in self.queues.values():
             limited = [
@@ -46,6 +55,7 @@
             ]
             if not limited:
                 continue
+            self._any_named = True
             share = self._share_in_domain(queue.service, now)
             for candidate in limited:
                 candidate.limit.share = share * self._domain_share(
--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -65,7 +65,7 @@
         self.log = EventLog(lines_per_s=cfg.log_lines_per_s, vm=cfg.vm)
         self.pool = ConnectionPool()
         self.meters = Meters()
-        self.limits = LimitRecorder(self.log, self._update_limit_shares)
+        self.limits = LimitRecorder(self.log, self._on_limit_changed)
         self.draining = False
         self.planned_stop = PlannedStop.from_settings(cfg)
         self._stop = asyncio.Event()
@@ -287,7 +287,7 @@
             await asyncio.sleep(TICK_INTERVAL_S)
             self.view.remove_expired(now_s())
             self.coordinator.remove_expired(now_s())
-            self._update_limit_shares()
+            self.limit_shares.update(now_s())
             self.log.flush()
 
     # Callbacks between the parts.
@@ -305,8 +305,8 @@
     def _vm_count(self) -> int:
         return self.membership.count(now_s())
 
-    def _update_limit_shares(self) -> None:
-        self.limit_shares.update(now_s())
+    def _on_limit_changed(self) -> None:
+        self.limit_shares.apply_change(now_s())
 
     async def _refresh_load(self, candidate: Candidate) -> bool:
         return await self.prober.refresh_load(candidate)
--- a/wagtailfork/gateway/placement_coordinator.py
+++ b/wagtailfork/gateway/placement_coordinator.py
@@ -34,6 +34,7 @@
 LEASE_MARGIN_S: Final = 0.5  # beyond the deadline of a request
 MAX_PLACEMENTS: Final = 5000  # bounds the memory, at some 2 KB each
 _MS: Final = 1000
+_RESPONDED: Final = frozenset((Outcome.succeeded, Outcome.failed))
 
 Send = Callable[[Message, list[str]], None]
 _Key = tuple[str, int]  # address of the VM, number of the placement
@@ -87,6 +88,8 @@
             now = now_s()
             if message.load is not None:
                 candidate.load.record_report(restore_report(message.load, now))
+            if message.outcome in _RESPONDED:
+                candidate.has_responded = True
             if message.limit is not None:
                 self.limits.record_row(candidate, message.limit)
             _record_outcome(candidate.load, message.outcome, now)
--- a/wagtailfork/routing/candidate.py
+++ b/wagtailfork/routing/candidate.py
@@ -30,6 +30,7 @@
     connected_until_s: float = 0  # until then, an idle connection is reusable
     failure_domain: str = ''
     limit: ServerLimit = attrs.field(factory=ServerLimit)
+    has_responded: bool = False  # to a request of this VM or of a neighbour
 
     def is_free(self, now: float) -> bool:
         """Return whether a slot is free and the limit allows a request."""
@@ -43,10 +44,10 @@
         self.load.begin()
         self.limit.take(now)
 
-    def give_back(self) -> None:
+    def give_back(self, begun_at_s: float) -> None:
         """Take back a request that was counted and is not sent."""
         self.load.end()
-        self.limit.give_back()
+        self.limit.give_back(begun_at_s)
 
     def needs_probe(self, now: float) -> bool:
         """Return whether to probe the server before sending a request."""
@@ -63,4 +64,4 @@
 
         Other servers are probed before the first request.
         """
-        return self._is_distant() and not self.limit.told_at_s
+        return self._is_distant() and not self.has_responded
--- a/wagtailfork/routing/late_binding.py
+++ b/wagtailfork/routing/late_binding.py
@@ -147,12 +147,13 @@
 
     async def _keep_after_probe(self, candidate: Candidate) -> bool:
         """Probe a server; give its slot back if it has to be chosen again."""
+        begun_at_s = now_s()
         kept = False
         try:
             kept = not await self.refresh_load(candidate)
         finally:
             if not kept:
-                candidate.give_back()
+                candidate.give_back(begun_at_s)
         return kept
 
     def _bind_again(self, queued: QueuedRequest) -> Candidate | None:
--- a/wagtailfork/routing/server_limit.py
+++ b/wagtailfork/routing/server_limit.py
@@ -12,7 +12,7 @@
 NO_LIMIT: Final = math.inf
 BURST_S: Final = 0.5  # requests of this time may be sent at once
 # Lets a response tell when a limit of zero ends.
-MIN_REQUESTS_PER_S: Final = 0.2
+MIN_REQUESTS_PER_S: Final = 0.4
 
 
 @attrs.define(eq=False)
@@ -41,6 +41,7 @@
     was_named: bool = False  # now or before
     _credit: float = 0  # requests
     _credited_at_s: float = 0
+    _named_at_s: float = 0
 
     @property
     def is_named(self) -> bool:
@@ -61,6 +62,7 @@
         if not self.is_named:
             self._credit = 0
             self._credited_at_s = at_s
+            self._named_at_s = at_s
         changed = requests_per_s != self.requests_per_s
         self.was_named = self.was_named or requests_per_s < NO_LIMIT
         self.requests_per_s = requests_per_s
@@ -83,9 +85,10 @@
         if self.is_named:
             self._credit = self._refill(now) - 1
 
-    def give_back(self) -> None:
-        """Take back a request that was counted and is not sent."""
-        self._credit += 1
+    def give_back(self, taken_at_s: float) -> None:
+        """Take back a request that is not sent, if it was counted."""
+        if taken_at_s >= self._named_at_s:
+            self._credit += 1
 
     def _refill(self, now: float) -> float:
         rate = self.own_requests_per_s
