Work out the shares of limited servers alone, once a second

A share can lag by a second: a new coordinator starts with none, so that errs to fewer requests. test_limit_shares plays the second and keeps its bounds.

--- a/wagtailfork/bench/placements.py
+++ b/wagtailfork/bench/placements.py
@@ -66,7 +66,7 @@
         lambda _service: queue,
         send,
         lambda _address: True,
-        LimitRecorder(EventLog(lines_per_s=0), lambda: None),
+        LimitRecorder(EventLog(lines_per_s=0), lambda _candidate: None),
     )
 
 
--- a/wagtailfork/gateway/limit_recorder.py
+++ b/wagtailfork/gateway/limit_recorder.py
@@ -19,7 +19,7 @@
     """Record limits; log each change with its source."""
 
     log: EventLog
-    on_changed: Callable[[], None]
+    on_changed: Callable[[Candidate], None]
 
     def record_response(
         self, candidate: Candidate, limit: float | None, request_id: str
@@ -59,7 +59,7 @@
     ) -> None:
         before = candidate.limit.requests_per_s
         if candidate.limit.record(limit, at_s):
-            self.on_changed()
+            self.on_changed(candidate)
             self.log.emit(
                 'limit_changed',
                 important=True,
--- a/wagtailfork/gateway/limit_shares.py
+++ b/wagtailfork/gateway/limit_shares.py
@@ -8,14 +8,13 @@
 """
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Final
 
 import attrs
 
 from ..fleet.members import Membership
 from ..routing.candidate import Candidate
-from ..routing.late_binding import ServiceQueue
 from .placement_client import PlacementClient
 
 # Weights of the server's own domain, of the other domains of its region
@@ -32,35 +31,42 @@
 
     membership: Membership
     placer: PlacementClient
-    queues: Mapping[str, ServiceQueue]  # by service
     regions: Mapping[str, str]  # failure domain to region
-    _any_named: bool = False
+    _limited: dict[str, list[Candidate]] = attrs.field(
+        factory=dict
+    )  # by service
 
-    def apply_change(self, now: float) -> None:
+    def apply_change(self, candidate: Candidate, now: float) -> None:
         """Set the shares after a server named another limit."""
-        self._any_named = True
-        self.update(now)
+        limited = self._limited.setdefault(candidate.service, [])
+        if candidate not in limited:
+            limited.append(candidate)
+        self._update_service(candidate.service, limited, now)
 
     def update(self, now: float) -> None:
         """Set the shares of all servers that name a limit."""
-        if not self._any_named:
-            return
-        self._any_named = False
+        for service, limited in list(self._limited.items()):
+            named = [one for one in limited if one.limit.is_named]
+            if named:
+                self._limited[service] = named
+                self._update_service(service, named, now)
+            else:
+                self._limited.pop(service)
+
+    def retain(self, is_listed: Callable[[Candidate], bool]) -> None:
+        """Forget the servers that are not listed any more."""
+        for service, limited in self._limited.items():
+            self._limited[service] = [one for one in limited if is_listed(one)]
+
+    def _update_service(
+        self, service: str, limited: list[Candidate], now: float
+    ) -> None:
         domains = self.membership.domains()
-        for queue in self.queues.values():
-            limited = [
-                one
-                for one in queue.table.servers.values()
-                if one.limit.is_named
-            ]
-            if not limited:
-                continue
-            self._any_named = True
-            share = self._share_in_domain(queue.service, now)
-            for candidate in limited:
-                candidate.limit.share = share * self._domain_share(
-                    candidate, domains
-                )
+        share = self._share_in_domain(service, now)
+        for candidate in limited:
+            candidate.limit.share = share * self._domain_share(
+                candidate, domains
+            )
 
     def _share_in_domain(self, service: str, now: float) -> float:
         """Return this VM's share of what its failure domain may send."""
--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -100,7 +100,7 @@
             log=self.log,
         )
         self.limit_shares = LimitShares(
-            self.membership, self.placer, self.backends.queues, cfg.regions
+            self.membership, self.placer, cfg.regions
         )
         self.ledger = Ledger(
             cfg.vm,
@@ -278,6 +278,7 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self.pool.sweep()
             self.membership.remove_expired(now_s())
+            self.limit_shares.update(now_s())
             for queue in self.backends.queues.values():
                 queue.sharing_vms = self._count_sharing(queue.service)
                 queue.dispatch()
@@ -287,7 +288,6 @@
             await asyncio.sleep(TICK_INTERVAL_S)
             self.view.remove_expired(now_s())
             self.coordinator.remove_expired(now_s())
-            self.limit_shares.update(now_s())
             self.log.flush()
 
     # Callbacks between the parts.
@@ -305,8 +305,11 @@
     def _vm_count(self) -> int:
         return self.membership.count(now_s())
 
-    def _on_limit_changed(self) -> None:
-        self.limit_shares.apply_change(now_s())
+    def _is_listed(self, candidate: Candidate) -> bool:
+        return self.backends.candidate(candidate.name) is candidate
+
+    def _on_limit_changed(self, candidate: Candidate) -> None:
+        self.limit_shares.apply_change(candidate, now_s())
 
     async def _refresh_load(self, candidate: Candidate) -> bool:
         return await self.prober.refresh_load(candidate)
@@ -332,6 +335,7 @@
 
     def _on_view_changed(self, source: str) -> None:
         self.backends.update(self.view.servers)
+        self.limit_shares.retain(self._is_listed)
         cfg = self.view.configuration
         if cfg is not None:
             self.forwarder.round_robin.retain(cfg.routes)
--- a/wagtailfork/routing/candidate.py
+++ b/wagtailfork/routing/candidate.py
@@ -29,6 +29,7 @@
     new_until_s: float = 0
     connected_until_s: float = 0  # until then, an idle connection is reusable
     failure_domain: str = ''
+    service: str = ''
     limit: ServerLimit = attrs.field(factory=ServerLimit)
     has_responded: bool = False  # to a request of this VM or of a neighbour
 
