--- a/wagtailfork/gateway/adapter.py
+++ b/wagtailfork/gateway/adapter.py
@@ -34,6 +34,10 @@
     def failing(self) -> bool:
         """Return whether the last call to the source failed."""
 
+    @property
+    def read_at_s(self) -> float:
+        """Return the time of the last read of the topic read longest ago."""
+
     async def follow_configuration(self) -> None:
         """Follow the configuration without end."""
 
--- a/wagtailfork/gateway/metrics.py
+++ b/wagtailfork/gateway/metrics.py
@@ -105,6 +105,11 @@
         ('wagtailfork_servers', 'Servers known', len(view.servers)),
         ('wagtailfork_vms', 'VMs alive', node.membership.count(now)),
         ('wagtailfork_reading', 'Follows the store', node.source.reads_store),
+        (
+            'wagtailfork_store_read_age_seconds',
+            'Since both topics were read',
+            now - node.source.read_at_s,
+        ),
         ('wagtailfork_store_calls', 'Calls to the store', usage.calls),
         ('wagtailfork_store_read_bytes', 'Read there', usage.read_bytes),
         ('wagtailfork_store_sent_bytes', 'Written there', usage.written_bytes),
--- a/wagtailfork/gateway/view.py
+++ b/wagtailfork/gateway/view.py
@@ -72,6 +72,13 @@
             log_warning(_logger, 'configuration_unreadable', error=exc)
             return
         if found.version <= self.version:
+            log_event(
+                _logger,
+                'configuration_not_newer',
+                version=found.version,
+                in_force=self.version,
+                source=source,
+            )
             return
         self.configuration = found
         self.raw_configuration = raw
--- a/wagtailfork/platform/source.py
+++ b/wagtailfork/platform/source.py
@@ -32,14 +32,26 @@
     name: str
     ok: bool = False
     failures: int = 0
+    read_at_s: float = attrs.field(factory=now_s)  # or the start
 
-    def record(self, error: str | None) -> None:
-        if error is None and not self.ok:
+    def record_success(self) -> None:
+        if not self.ok:
             log_event(_logger, 'store_reached', topic=self.name)
-        if error is not None and self.ok:
-            log_warning(_logger, 'store_lost', topic=self.name, error=error)
-        self.ok = error is None
-        self.failures = 0 if self.ok else self.failures + 1
+        self.ok = True
+        self.failures = 0
+        self.read_at_s = now_s()
+
+    def record_failure(self, error: str) -> None:
+        if self.ok:
+            log_warning(
+                _logger,
+                'store_lost',
+                topic=self.name,
+                read_age_s=round(now_s() - self.read_at_s, 3),
+                error=error,
+            )
+        self.ok = False
+        self.failures += 1
 
     def backoff_s(self) -> float:
         return min(_MAX_BACKOFF_S, _BACKOFF_S * self.failures)
@@ -79,6 +91,13 @@
             self._config_status.failures or self._servers_status.failures
         )
 
+    @property
+    def read_at_s(self) -> float:
+        """Return the time of the last read of the topic read longest ago."""
+        return min(
+            self._config_status.read_at_s, self._servers_status.read_at_s
+        )
+
     async def follow_configuration(self) -> None:
         """Apply configuration changes to the view until cancelled."""
         await self._follow_topic(self._config_status, self._read_configuration)
@@ -122,11 +141,11 @@
             try:
                 await read_once()
             except WagtailforkError as exc:
-                status.record(str(exc))
+                status.record_failure(str(exc))
                 self.view.start_recovery_window(now_s())
                 await asyncio.sleep(status.backoff_s())
             else:
-                status.record(None)
+                status.record_success()
 
     def _read_wait_s(self, status: _TopicStatus) -> float:
         # The first read does not wait, so that its success is known at once.
