Read the store again before the age of the configuration counts

Cause: a reader waited up to 5.8 s for a long poll, a limit derived from the sum of two bounds that run at the same time. Ruled out: a reader that does not tell its domain, a version that is rejected, a version that a VM has and does not use (docs/incidents/silent-store-reads.md).

store_wait_s is 2, the first read after a failure starts at once, and a call without an answer closes idle connections to the store.

--- a/wagtailfork/core/settings.py
+++ b/wagtailfork/core/settings.py
@@ -111,10 +111,10 @@
     # Time from the signal to stop until the platform kills the process.
     stop_grace_s: float = attrs.field(default=6.0, validator=_POSITIVE)
     directory_ttl_s: float = attrs.field(default=2.0, validator=_POSITIVE)
-    # Long-poll timeout. Short enough to detect a reader with a silent
-    # connection within the limit on configuration age, counted from when its
-    # VM becomes subject to that limit again.
-    store_wait_s: float = attrs.field(default=5.0, validator=_POSITIVE)
+    # Long-poll timeout. A poll that a silent connection swallows, its timeout
+    # and the next read must end within 4 s: users then hold the VM to the age
+    # of its configuration again.
+    store_wait_s: float = attrs.field(default=2.0, validator=_POSITIVE)
     store_settle_s: float = attrs.field(default=0.1, validator=_POSITIVE)
     # Cost of a megabyte sent to another failure domain and to another region,
     # in answered calls.
--- a/wagtailfork/platform/source.py
+++ b/wagtailfork/platform/source.py
@@ -20,7 +20,7 @@
 _CONFIG_KEY: Final = 'config'
 _SERVERS_TOPIC: Final = 'keyed.servers'
 _VMS_TOPIC: Final = 'keyed.wagtailfork-vms'
-_BACKOFF_S: Final = 0.25  # multiplied by the failures in a row
+_BACKOFF_S: Final = 0.25  # times the failures in a row after the first
 _MAX_BACKOFF_S: Final = 1.0
 _ELECTION_CHECK_S: Final = 0.1  # a sixteenth of a reader's lease
 
@@ -54,7 +54,8 @@
         self.failures += 1
 
     def backoff_s(self) -> float:
-        return min(_MAX_BACKOFF_S, _BACKOFF_S * self.failures)
+        """Return the delay before the next read; none after a first failure."""
+        return min(_MAX_BACKOFF_S, _BACKOFF_S * max(0, self.failures - 1))
 
 
 @attrs.define(eq=False)
--- a/wagtailfork/platform/store.py
+++ b/wagtailfork/platform/store.py
@@ -195,6 +195,8 @@
             async with asyncio.timeout(limit_s):
                 return await self._exchange(head, body)
         except TimeoutError as exc:
+            # Idle connections may have become silent at the same time.
+            self.pool.drop(self.address)
             raise _unavailable(f'{target}: no answer in {limit_s} s') from exc
         except (RequestNotSent, ResponseError) as exc:
             raise _unavailable(f'{target}: {exc}') from exc
