--- a/wagtailfork/gateway/adapter.py
+++ b/wagtailfork/gateway/adapter.py
@@ -14,6 +14,7 @@
 class StoreUsage(Protocol):
     """Count the calls and bytes exchanged with the store."""
 
+    era: int
     calls: int
     read_bytes: int
     written_bytes: int
--- a/wagtailfork/gateway/metrics.py
+++ b/wagtailfork/gateway/metrics.py
@@ -110,6 +110,7 @@
             'Since both topics were read',
             now - node.source.read_at_s,
         ),
+        ('wagtailfork_store_era', 'Named by the store', usage.era),
         ('wagtailfork_store_calls', 'Calls to the store', usage.calls),
         ('wagtailfork_store_read_bytes', 'Read there', usage.read_bytes),
         ('wagtailfork_store_sent_bytes', 'Written there', usage.written_bytes),
--- a/wagtailfork/gateway/view.py
+++ b/wagtailfork/gateway/view.py
@@ -105,6 +105,13 @@
         removed.
         """
         if position < self.position:
+            log_event(
+                _logger,
+                'table_not_newer',
+                position=position,
+                in_use=self.position,
+                source=source,
+            )
             return
         removed = self._raw_servers.keys() - table.keys()
         for name in removed:
--- a/wagtailfork/platform/source.py
+++ b/wagtailfork/platform/source.py
@@ -164,7 +164,8 @@
                 self._config_offset,
                 self._read_wait_s(self._config_status),
             )
-        except RecordsTrimmed:
+        except RecordsTrimmed as exc:
+            log_event(_logger, 'records_missing', error=exc)
             self._config_offset = None
             await asyncio.sleep(self.settle_s)
             return
@@ -187,7 +188,8 @@
                 self.view.position,
                 self._read_wait_s(self._servers_status),
             )
-        except RecordsTrimmed:
+        except RecordsTrimmed as exc:
+            log_event(_logger, 'records_missing', error=exc)
             await self._reload_servers()
             await asyncio.sleep(self.settle_s)
             return
--- a/wagtailfork/platform/store.py
+++ b/wagtailfork/platform/store.py
@@ -11,6 +11,7 @@
 import attrs
 
 from ..core.errors import WagtailforkError
+from ..core.logs import log_event, log_warning
 from ..core.results import ResultCode
 from ..http1.body import Body
 from ..http1.headers import render_head
@@ -24,6 +25,7 @@
 _WAIT_GRACE_S: Final = 0.8  # added to the wait time of a long poll
 _MS_PER_S: Final = 1000
 _MAX_RESPONSE_BYTES: Final = 67108864  # fits a listing of 14,000 servers
+_ERA: Final = b'store-era'
 # The end offset and the first retained offset.
 _OFFSETS: Final = struct.Struct('>QQ')
 _LENGTH: Final = struct.Struct('>I')
@@ -81,6 +83,7 @@
 
     address: str
     pool: ConnectionPool = attrs.field(factory=ConnectionPool)
+    era: int = 0  # the latest one that the store named
     calls: int = 0
     read_bytes: int = 0
     written_bytes: int = 0
@@ -217,8 +220,21 @@
         if response.body.truncated:
             raise ResponseError('answer cut short')
         self.read_bytes += response.body.size
+        self._record_era(response)
         return response
 
+    def _record_era(self, response: BackendResponse) -> None:
+        text = response.find(_ERA)
+        if text is None:
+            return
+        if not text.isdigit():
+            log_warning(_logger, 'store_era_unreadable', found=repr(text))
+            return
+        era = int(text)
+        if era > self.era:
+            log_event(_logger, 'store_era', era=era, before=self.era)
+            self.era = era
+
 
 def _parse_page(plain: Any) -> _Page:
     records = {
