Show that a restored store leaves VMs with old servers and versions

The stand-in of the store can go back to a copy in a new era and responds with 410 to offsets that it does not have.

--- a/wagtailfork/standin/keyed_store.py
+++ b/wagtailfork/standin/keyed_store.py
@@ -2,15 +2,19 @@
 
 import asyncio
 import base64
+import copy
 import struct
 from http import HTTPStatus
 from typing import Any, Final
 
 import attrs
 from starlette.applications import Starlette
+from starlette.datastructures import MutableHeaders
+from starlette.middleware import Middleware
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
+from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
 _LENGTH: Final = struct.Struct('>I')
 _OFFSETS: Final = struct.Struct('>QQ')  # end and first offset
@@ -66,6 +70,7 @@
     """Store topics in memory and inject faults."""
 
     faults: StoreFaults = attrs.field(factory=StoreFaults)
+    era: int = 1
     calls: int = 0
     _topics: dict[str, _Topic] = attrs.field(factory=dict)
 
@@ -84,6 +89,23 @@
         topic_log.first = topic_log.end
         topic_log.records.clear()
 
+    def keys(self, topic: str) -> set[str]:
+        """Return the keys of a topic that have a record."""
+        return set(self._topic(topic).newest)
+
+    def end(self, topic: str) -> int:
+        """Return the offset that the next record of a topic gets."""
+        return self._topic(topic).end
+
+    def copy_topics(self) -> 'dict[str, _Topic]':
+        """Return a copy of all topics, to restore the store from."""
+        return copy.deepcopy(self._topics)
+
+    def restore(self, topics: 'dict[str, _Topic]') -> None:
+        """Go back to a copy, in a new era."""
+        self._topics = copy.deepcopy(topics)
+        self.era += 1
+
     def app(self) -> Starlette:
         """Return the ASGI application."""
         routes = [
@@ -91,7 +113,9 @@
             Route('/v1/log-read', self._read),
             Route('/v1/log-newest', self._newest),
         ]
-        return Starlette(routes=routes)
+        return Starlette(
+            routes=routes, middleware=[Middleware(_EraHeader, store=self)]
+        )
 
     def _topic(self, name: str) -> _Topic:
         keyed = name.startswith(_KEYED_PREFIX)
@@ -126,13 +150,15 @@
         fault = await self._inject_fault()
         if fault is not None:
             return fault
-        topic = self._topic(req.query_params['topic'])
+        name = req.query_params['topic']
         start = int(req.query_params['from'])
         left_s = float(req.query_params.get('waitMs', 0)) / _MS_PER_S
-        while start >= topic.end and left_s > 0:
+        topic = self._topic(name)
+        while start == topic.end and left_s > 0:
             await asyncio.sleep(_POLL_PERIOD_S)
             left_s -= _POLL_PERIOD_S
-        if start < topic.first:
+            topic = self._topic(name)
+        if not topic.first <= start <= topic.end:
             return JSONResponse(
                 {'first': topic.first},
                 status_code=HTTPStatus.GONE,
@@ -155,3 +181,24 @@
         page = [topic.item(key) for key in keys[:_PAGE_ITEMS]]
         more = len(keys) > len(page)
         return JSONResponse({'items': page, 'hasMore': more, 'end': topic.end})
+
+
+@attrs.frozen
+class _EraHeader:
+    """Name the store's era in all responses."""
+
+    app: ASGIApp
+    store: KeyedStoreStandin
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Respond to one request."""
+
+        async def send_with_era(message: Message) -> None:
+            if message['type'] == 'http.response.start':
+                headers = MutableHeaders(scope=message)
+                headers['Store-Era'] = str(self.store.era)
+            await send(message)
+
+        await self.app(scope, receive, send_with_era)
