Compare positions and versions only with the era of the store

Callers: after the store was restored from an older copy, requests reached servers later than the bound after they left (DRAIN); on stand-ins a change of the configuration was never in force (CONFIG).

A listing of the restored store counted as older than the table in use, was ignored and asked for again ten times a second. Ruled out: servers of the copy that come back; no listing was applied at all.

A position is an era and an offset, an edition a version and an era. A read of another era lists the topic again. A later table replaces the one in use, but an entry older (born, seq) than what is known of its server waits until the store has settled, and a process that drained does not come back; what is known travels with whole tables. A view no longer applies a change before it has a table: it would have been a table of that change alone. The two tests of test_view.py that began so begin with a table now.

VMs of this build and the one before do not read each other's heartbeats.

--- a/wagtailfork/bench/gateway.py
+++ b/wagtailfork/bench/gateway.py
@@ -7,6 +7,7 @@
 from ..fleet.member import short_row
 from ..fleet.members import Membership
 from ..fleet.messages import Heartbeat, decode, encode
+from ..fleet.position import NO_EDITION, NO_POSITION, Position
 from ..fleet.snapshots import parse_snapshot, render_snapshot
 from ..gateway.view import View
 from ..platform.documents import decode_configuration, decode_server
@@ -36,13 +37,15 @@
     table = {f'i-{index:08x}': make_entry(index) for index in range(size)}
     tracemalloc.start()
     view = View(decode_configuration, decode_server)
-    view.replace_servers(table, size, 'bench')
+    position = Position(1, size)
+    view.replace_servers(table, position, 'bench')
     used_bytes = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
-    no_change = view.snapshot(0, size)
-    view.apply_server('i-00000001', make_entry(8), size + 1, 'bench')
-    one_change = view.snapshot(0, size)
-    whole = view.snapshot(0, -1)
+    no_change = view.snapshot(NO_EDITION, position)
+    changed = Position(1, size + 1)
+    view.apply_server('i-00000001', make_entry(8), changed, 'bench')
+    one_change = view.snapshot(NO_EDITION, position)
+    whole = view.snapshot(NO_EDITION, NO_POSITION)
     return [
         make_measurement('table of servers', size, used_bytes, 'bytes'),
         make_measurement(
--- a/wagtailfork/fleet/member.py
+++ b/wagtailfork/fleet/member.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from .position import NO_EDITION, START, Edition, Position
+
 
 @attrs.frozen(kw_only=True)
 class Member:
@@ -19,8 +21,8 @@
     down: bool = False  # set by the VMs that monitor it
     ready: bool = False
     reads_store: bool = False  # reads the platform's store successfully
-    config_version: int = 0
-    servers_position: int = 0
+    edition: Edition = NO_EDITION  # of the configuration
+    position: Position = START  # in the table of servers
 
     def supersedes(self, other: 'Member') -> bool:
         """Return whether this row is newer than ``other``.
@@ -41,8 +43,8 @@
     heartbeat_count: int
     ready: bool
     reads_store: bool
-    config_version: int
-    servers_position: int
+    edition: Edition
+    position: Position
 
     def apply_to(self, known: Member) -> Member:
         """Return a known member with these fields updated."""
@@ -52,8 +54,8 @@
             down=False,
             ready=self.ready,
             reads_store=self.reads_store,
-            config_version=self.config_version,
-            servers_position=self.servers_position,
+            edition=self.edition,
+            position=self.position,
         )
 
 
@@ -77,8 +79,8 @@
         heartbeat_count=member.heartbeat_count,
         ready=member.ready,
         reads_store=member.reads_store,
-        config_version=member.config_version,
-        servers_position=member.servers_position,
+        edition=member.edition,
+        position=member.position,
     )
 
 
--- a/wagtailfork/fleet/messages.py
+++ b/wagtailfork/fleet/messages.py
@@ -11,13 +11,15 @@
 from .member import Member, MemberRow, MemberUpdate
 from .placement_codec import PLACEMENT_PARSERS, render_placement
 from .placement_messages import PlacementMessage
+from .position import Edition, Position
 
 _MAX_ERROR_CHARS: Final = 99  # of a decoder error
 _HEARTBEAT_KIND: Final = 1
 _STRIKE_KIND: Final = 3
 _HEARTBEAT_REQUEST_KIND: Final = 4
-_MEMBER_NUMBERS: Final = slice(4, 9)  # integer fields of a member row
-_UPDATE_FIELD_COUNT: Final = 6
+_MEMBER_NUMBERS: Final = slice(4, None)  # integer fields of a member row
+_KNOWLEDGE_NUMBERS: Final = slice(3, 7)  # of those, what the VM knows
+_UPDATE_FIELD_COUNT: Final = 8
 _READY_FLAG: Final = 1
 _READING_FLAG: Final = 2
 _DOWN_FLAG: Final = 4
@@ -103,11 +105,24 @@
         row.incarnation,
         row.heartbeat_count,
         _READY_FLAG * row.ready | _READING_FLAG * row.reads_store,
-        row.config_version,
-        row.servers_position,
+        *_knowledge(row),
     ]
 
 
+def _knowledge(row: MemberRow) -> list[int]:
+    return [
+        row.edition.version,
+        row.edition.era,
+        row.position.era,
+        row.position.offset,
+    ]
+
+
+def _parse_knowledge(numbers: list[int]) -> tuple[Edition, Position]:
+    version, config_era, era, offset = numbers
+    return Edition(version, config_era), Position(era, offset)
+
+
 def _parse_row(row: list[Any]) -> MemberRow:
     if len(row) != _UPDATE_FIELD_COUNT:
         return _parse_member(row)
@@ -116,14 +131,15 @@
         raise TypeError(f'address {address!r}')
     parts = [int(number) for number in numbers]
     flags = parts[2]
+    edition, position = _parse_knowledge(parts[_KNOWLEDGE_NUMBERS])
     return MemberUpdate(
         address=address,
         incarnation=parts[0],
         heartbeat_count=parts[1],
         ready=bool(flags & _READY_FLAG),
         reads_store=bool(flags & _READING_FLAG),
-        config_version=parts[3],
-        servers_position=parts[4],
+        edition=edition,
+        position=position,
     )
 
 
@@ -138,8 +154,7 @@
         _READY_FLAG * member.ready
         | _READING_FLAG * member.reads_store
         | _DOWN_FLAG * member.down,
-        member.config_version,
-        member.servers_position,
+        *_knowledge(member),
     ]
 
 
@@ -150,6 +165,7 @@
     host = address.rpartition(':')[0]
     numbers = [int(part) for part in row[_MEMBER_NUMBERS]]
     flags = numbers[2]
+    edition, position = _parse_knowledge(numbers[_KNOWLEDGE_NUMBERS])
     return Member(
         address=address,
         caller_address=f'{host}:{port}',
@@ -160,8 +176,8 @@
         ready=bool(flags & _READY_FLAG),
         reads_store=bool(flags & _READING_FLAG),
         down=bool(flags & _DOWN_FLAG),
-        config_version=numbers[3],
-        servers_position=numbers[4],
+        edition=edition,
+        position=position,
     )
 
 
--- a/wagtailfork/fleet/snapshots.py
+++ b/wagtailfork/fleet/snapshots.py
@@ -15,8 +15,10 @@
 from ..http1.headers import render_head
 from ..http1.request import CallerRequest
 from ..http1.responses import RequestNotSent, ResponseError
+from .position import NO_POSITION, Edition, Position
 
 _PATH: Final = '/snapshot'
+_QUERY_NAMES: Final = ('version', 'config_era', 'era', 'offset')
 _OK: Final = 200
 FETCH_TIMEOUT_S: Final = 0.6  # five round trips between regions plus transfer
 MAX_SNAPSHOT_BYTES: Final = 33554432
@@ -29,20 +31,33 @@
 
     name: str
     entry: bytes | None
-    position: int  # after the change
+    position: Position  # after the change
+
+
+@attrs.frozen
+class Departure:
+    """Hold the last statement of a server that drains or was removed."""
+
+    name: str
+    started_ms: int
+    sequence: int
+    draining: bool
 
 
 @attrs.frozen(kw_only=True)
 class Snapshot:
     """Hold the configuration, and the server table or its recent changes.
 
-    The configuration is compressed, as many VMs fetch it at the same time.
+    The configuration is compressed, as many VMs fetch it at the same time. A
+    table comes with the departures that an older copy of it may lack.
     """
 
     packed_configuration: bytes = b''
-    position: int = -1
+    configuration_era: int = 0
+    position: Position = NO_POSITION
     servers: Mapping[str, bytes] | None = None
     changes: tuple[Change, ...] = ()
+    departures: tuple[Departure, ...] = ()
 
 
 def pack(raw: bytes) -> bytes:
@@ -83,22 +98,30 @@
 def render_snapshot(snapshot: Snapshot) -> bytes:
     """Encode a snapshot."""
     servers = snapshot.servers
-    changes = [[one.name, one.entry, one.position] for one in snapshot.changes]
+    changes = [
+        [one.name, one.entry, one.position.offset] for one in snapshot.changes
+    ]
     return cbor2.dumps(
-        [
-            snapshot.packed_configuration,
-            snapshot.position,
-            None if servers is None else dict(servers),
-            changes,
-        ]
+        {
+            'configuration': snapshot.packed_configuration,
+            'configuration_era': snapshot.configuration_era,
+            'era': snapshot.position.era,
+            'offset': snapshot.position.offset,
+            'servers': None if servers is None else dict(servers),
+            'changes': changes,
+            'departures': [
+                list(attrs.astuple(one)) for one in snapshot.departures
+            ],
+        }
     )
 
 
 def parse_snapshot(raw: bytes) -> Snapshot:
     """Decode a snapshot or raise ``frame_malformed``.
 
-    >>> parse_snapshot(render_snapshot(Snapshot(position=4))).position
-    4
+    >>> parse_snapshot(render_snapshot(Snapshot(position=Position(1, 4))))
+    ... # doctest: +ELLIPSIS
+    Snapshot(..., position=Position(era=1, offset=4), ...)
     """
     try:
         return _parse_parts(cbor2.loads(raw))
@@ -110,24 +133,30 @@
         ) from exc
 
 
-def parse_query(req: CallerRequest) -> tuple[int, int]:
-    """Return the version and the position that the requesting VM has."""
+def parse_query(req: CallerRequest) -> tuple[Edition, Position]:
+    """Return the edition and the position that the requesting VM has."""
     query = parse_qs(urlsplit(req.target.decode('latin-1')).query)
     try:
-        return int(query['version'][0]), int(query['position'][0])
+        version, config_era, era, offset = (
+            int(query[name][0]) for name in _QUERY_NAMES
+        )
     except (KeyError, ValueError) as exc:
         raise WagtailforkError(
             ResultCode.bad_request,
             req.target.decode('latin-1'),
         ) from exc
+    return Edition(version, config_era), Position(era, offset)
 
 
-async def fetch_snapshot(address: str, version: int, position: int) -> Snapshot:
-    """Fetch what is newer than a configuration version and a position.
+async def fetch_snapshot(
+    address: str, edition: Edition, position: Position
+) -> Snapshot:
+    """Fetch what is newer than an edition and a position.
 
     Raise ``service_unreachable`` or ``frame_malformed``.
     """
-    query = urlencode({'version': version, 'position': position})
+    numbers = (edition.version, edition.era, position.era, position.offset)
+    query = urlencode(dict(zip(_QUERY_NAMES, numbers, strict=True)))
     head = render_head(
         f'GET {_PATH}?{query} HTTP/1.1'.encode(),
         [(b'Host', address.encode()), (b'Connection', b'close')],
@@ -158,22 +187,32 @@
 
 
 def _parse_parts(parts: Any) -> Snapshot:
-    packed, position, servers, changes = parts
+    position = Position(int(parts['era']), int(parts['offset']))
+    servers = parts['servers']
     table = None
     if servers is not None:
         table = {str(name): bytes(entry) for name, entry in servers.items()}
     return Snapshot(
-        packed_configuration=bytes(packed),
-        position=int(position),
+        packed_configuration=bytes(parts['configuration']),
+        configuration_era=int(parts['configuration_era']),
+        position=position,
         servers=table,
-        changes=tuple(_parse_change(row) for row in changes),
+        changes=tuple(
+            _parse_change(row, position.era) for row in parts['changes']
+        ),
+        departures=tuple(_parse_departure(row) for row in parts['departures']),
     )
 
 
-def _parse_change(row: Any) -> Change:
-    name, entry, position = row
+def _parse_change(row: Any, era: int) -> Change:
+    name, entry, offset = row
     return Change(
         str(name),
         None if entry is None else bytes(entry),
-        int(position),
+        Position(era, int(offset)),
     )
+
+
+def _parse_departure(row: Any) -> Departure:
+    name, started_ms, sequence, draining = row
+    return Departure(str(name), int(started_ms), int(sequence), bool(draining))
--- a/wagtailfork/gateway/heartbeats.py
+++ b/wagtailfork/gateway/heartbeats.py
@@ -14,6 +14,7 @@
 from ..fleet.member import Member, MemberRow
 from ..fleet.members import HEARTBEAT_PERIOD_S, Membership
 from ..fleet.messages import Heartbeat, HeartbeatRequest
+from ..fleet.position import START
 from ..fleet.telling import GossipSelector
 from ..fleet.watch import FailureDetector
 from .view import View
@@ -155,8 +156,8 @@
         self.membership.advance(
             ready=self.is_ready(),
             reads_store=self.reads_store(),
-            config_version=self.view.version,
-            servers_position=max(0, self.view.position),
+            edition=self.view.edition,
+            position=max(START, self.view.position),
         )
         me = self.membership.me
         return (before.ready, before.reads_store) != (me.ready, me.reads_store)
--- a/wagtailfork/gateway/model.py
+++ b/wagtailfork/gateway/model.py
@@ -31,3 +31,10 @@
     slots: int
     draining: bool = False
     warm_up_s: float = 0
+    # Counts the statements of one process; not part of the state of a server.
+    sequence: int = attrs.field(default=0, eq=False)
+
+    @property
+    def age_order(self) -> tuple[int, int]:
+        """Return a key that orders the statements of a server by age."""
+        return self.started_ms, self.sequence
--- a/wagtailfork/gateway/side_handlers.py
+++ b/wagtailfork/gateway/side_handlers.py
@@ -38,8 +38,8 @@
             self.replicator.store_replica(req.body.payload())
             req.respond(HTTP_OK, [])
             return
-        version, position = parse_query(req)
-        send_snapshot(req, self.view.snapshot(version, position))
+        edition, position = parse_query(req)
+        send_snapshot(req, self.view.snapshot(edition, position))
 
 
 @attrs.frozen
--- a/wagtailfork/gateway/snapshot_fetcher.py
+++ b/wagtailfork/gateway/snapshot_fetcher.py
@@ -9,6 +9,7 @@
 from ..core.errors import WagtailforkError
 from ..core.logs import log_warning
 from ..fleet.member import MemberRow
+from ..fleet.position import START
 from ..fleet.snapshots import fetch_snapshot
 from .view import View
 
@@ -29,7 +30,7 @@
     _tasks: set['asyncio.Task[Any]'] = attrs.field(factory=set)
 
     def fetch_if_newer(self, sender: MemberRow) -> None:
-        """Start a fetch from a VM that has a newer version or position."""
+        """Start a fetch from a VM that has a newer edition or position."""
         if self.fetching or not self._is_ahead(sender):
             return
         self.fetching = True
@@ -40,16 +41,15 @@
     def _is_ahead(self, member: MemberRow) -> bool:
         if member.address == self.me:
             return False
-        return (
-            member.config_version > self.view.version
-            or member.servers_position > max(0, self.view.position)
+        return member.edition > self.view.edition or member.position > max(
+            START, self.view.position
         )
 
     async def _fetch(self, address: str) -> None:
         try:
             snapshot = await fetch_snapshot(
                 address,
-                self.view.version,
+                self.view.edition,
                 self.view.position,
             )
             self.view.merge(snapshot, address)
--- a/wagtailfork/gateway/tests/test_fleet_link.py
+++ b/wagtailfork/gateway/tests/test_fleet_link.py
@@ -5,6 +5,7 @@
 
 from ...fleet.member import Member
 from ...fleet.messages import Heartbeat
+from ...fleet.position import Edition
 from .rig import SERVERS_TOPIC, Rig, run_scenario
 
 
@@ -27,7 +28,7 @@
         rig.kill(reader)
         await rig.until(lambda: other.source.reads_store)
         rig.store.delete_key(SERVERS_TOPIC, 'b0')
-        await rig.until(lambda: other.view.position > 2)
+        await rig.until(lambda: other.view.position.offset > 2)
         self.assertNotIn('b0', other.view.servers)
 
 
@@ -53,12 +54,14 @@
             failure_domain='b',
             region='q',
             incarnation=1,
-            config_version=99,
+            edition=Edition(99, 1),
         )
         node.link._receive(Heartbeat([known, mentioned]))
         self.assertFalse(node.link.snapshot_fetcher.fetching)
         ahead = attrs.evolve(
-            known, heartbeat_count=known.heartbeat_count + 99, config_version=99
+            known,
+            heartbeat_count=known.heartbeat_count + 99,
+            edition=Edition(99, 1),
         )
         node.link._receive(Heartbeat([ahead]))
         self.assertTrue(node.link.snapshot_fetcher.fetching)
--- a/wagtailfork/gateway/tests/test_node.py
+++ b/wagtailfork/gateway/tests/test_node.py
@@ -233,8 +233,8 @@
         node = rig.nodes[0]
         rig.store.put(SERVERS_TOPIC, 'b9', b'{"service": 4}')
         rig.store.put(SERVERS_TOPIC, 'b0', b'\xff')
-        position = node.view.position + 2
-        await rig.until(lambda: node.view.position >= position)
+        position = node.view.position.offset + 2
+        await rig.until(lambda: node.view.position.offset >= position)
         self.assertEqual({'b0', 'b1'}, set(node.view.servers))
 
 
--- a/wagtailfork/gateway/tests/test_unresponsive.py
+++ b/wagtailfork/gateway/tests/test_unresponsive.py
@@ -8,6 +8,7 @@
 import testtools
 
 from ...fleet.member import Member
+from ...fleet.position import Edition
 from ...routing.candidate import FRESH_REPORT_S
 from ...tests.relay import Relay
 from .. import prober
@@ -124,4 +125,4 @@
 
 
 def _with_address(member: Member, address: str) -> Member:
-    return attrs.evolve(member, address=address, config_version=9)
+    return attrs.evolve(member, address=address, edition=Edition(9, 1))
--- a/wagtailfork/gateway/tests/test_view.py
+++ b/wagtailfork/gateway/tests/test_view.py
@@ -4,8 +4,11 @@
 
 import testtools
 
+from ...core.clock import now_s
+from ...fleet.position import Position
+from ...fleet.snapshots import parse_snapshot, render_snapshot
 from ...platform.documents import decode_configuration, decode_server
-from ..view import REREGISTER_S, View
+from ..view import REREGISTER_S, SETTLING_S, View
 from .rig import make_config
 
 
@@ -34,9 +37,9 @@
     def test_entry_removed_in_an_outage_is_kept(self) -> None:
         """The server is removed only if it does not register again."""
         view = make_view()
-        view.apply_server('s', make_entry(), 1, 'test')
+        view.replace_servers({'s': make_entry()}, Position(1, 1), 'test')
         view.start_recovery_window(1e9)
-        view.apply_server('s', None, 2, 'test')
+        view.apply_server('s', None, Position(1, 2), 'test')
         self.assertIn('s', view.servers)
         view.remove_expired(1e9 + REREGISTER_S)
         self.assertNotIn('s', view.servers)
@@ -44,34 +47,83 @@
     def test_entry_registered_again_stays(self) -> None:
         """A new registration cancels the expiry."""
         view = make_view()
-        view.apply_server('s', make_entry(), 1, 'test')
+        view.replace_servers({'s': make_entry()}, Position(1, 1), 'test')
         view.start_recovery_window(1e9)
-        view.apply_server('s', None, 2, 'test')
-        view.apply_server('s', make_entry(), 3, 'test')
+        view.apply_server('s', None, Position(1, 2), 'test')
+        view.apply_server('s', make_entry(), Position(1, 3), 'test')
         view.remove_expired(2e9)
         self.assertIn('s', view.servers)
 
     def test_entry_is_removed_at_once_without_outage(self) -> None:
         """Without an outage no entry is kept."""
         view = make_view()
-        view.apply_server('s', make_entry(), 1, 'test')
-        view.apply_server('s', None, 2, 'test')
+        view.replace_servers({'s': make_entry()}, Position(1, 1), 'test')
+        view.apply_server('s', None, Position(1, 2), 'test')
         self.assertEqual({}, view.servers)
 
 
+class TestEras(testtools.TestCase):
+    """Entries of a restored store against what is known of their servers."""
+
+    def test_ready_entry_of_a_process_that_drained(self) -> None:
+        """It is not used, also after the store has settled."""
+        view = make_view()
+        view.replace_servers({'s': make_entry(born=5)}, Position(1, 1), 't')
+        draining = make_entry(born=5, seq=7, state='draining')
+        view.apply_server('s', draining, Position(1, 2), 't')
+        view.apply_server('s', None, Position(1, 3), 't')
+        view.replace_servers({'s': make_entry(born=5)}, Position(2, 1), 't')
+        view.remove_expired(now_s() + SETTLING_S)
+        self.assertEqual({}, view.servers)
+        view.apply_server('s', make_entry(born=6), Position(2, 2), 't')
+        self.assertIn('s', view.servers)
+
+    def test_entry_that_the_settled_store_still_lists(self) -> None:
+        """The server was unlisted in the lost seconds, but it is running."""
+        view = make_view()
+        view.replace_servers({'s': make_entry(seq=4)}, Position(1, 1), 't')
+        view.apply_server('s', None, Position(1, 2), 't')
+        view.replace_servers({'s': make_entry(seq=4)}, Position(2, 1), 't')
+        self.assertEqual({}, view.servers)
+        view.remove_expired(now_s() + SETTLING_S)
+        self.assertIn('s', view.servers)
+
+    def test_departure_that_another_vm_knows(self) -> None:
+        """A VM that was away through the drill learns it with the table."""
+        told, away = make_view(), make_view()
+        for view in (told, away):
+            view.replace_servers({'s': make_entry(born=5)}, Position(1, 1), 't')
+        draining = make_entry(born=5, seq=7, state='draining')
+        told.apply_server('s', draining, Position(1, 2), 't')
+        told.replace_servers({'s': make_entry(born=5)}, Position(2, 1), 't')
+        snapshot = told.snapshot(away.edition, away.position)
+        away.merge(parse_snapshot(render_snapshot(snapshot)), 'told')
+        self.assertEqual(told.position, away.position)
+        self.assertNotIn('s', away.servers)
+
+    def test_changes_of_another_era_are_not_applied(self) -> None:
+        """A record after a restore needs the table of its era."""
+        view = make_view()
+        view.replace_servers({'s': make_entry()}, Position(1, 9), 't')
+        view.apply_server('s', None, Position(2, 3), 't')
+        view.replace_servers({}, Position(0, 99), 't')
+        self.assertIn('s', view.servers)
+        self.assertEqual(Position(1, 9), view.position)
+
+
 class TestOrder(testtools.TestCase):
     """Versions and positions only increase."""
 
     def test_late_table_is_ignored(self) -> None:
         """A table of an older position changes nothing."""
         view = make_view()
-        view.replace_servers({'s': make_entry()}, 5, 'test')
-        view.replace_servers({}, 4, 'test')
+        view.replace_servers({'s': make_entry()}, Position(1, 5), 'test')
+        view.replace_servers({}, Position(1, 4), 'test')
         self.assertIn('s', view.servers)
 
     def test_older_version_is_ignored(self) -> None:
         """The version in force stays."""
         view = make_view()
-        view.offer_configuration(make_config(4), 'test')
-        view.offer_configuration(make_config(3), 'test')
+        view.offer_configuration(make_config(4), 1, 'test')
+        view.offer_configuration(make_config(3), 1, 'test')
         self.assertEqual(4, view.version)
--- a/wagtailfork/gateway/view.py
+++ b/wagtailfork/gateway/view.py
@@ -10,14 +10,18 @@
 from ..core.errors import WagtailforkError
 from ..core.logs import log_event, log_warning
 from ..fleet.changes import ChangeWindow
+from ..fleet.position import NO_POSITION, Edition, Position
 from ..fleet.snapshots import Change, Snapshot, pack, unpack
+from .departures import Departures, is_superseded
 from .model import BackendServer, Configuration
 
-NO_POSITION: Final = -1
 EXPIRED: Final = 'lapse'  # source name of changes made by a timeout
 STORE: Final = 'store'
 RECOVERY_WINDOW_S: Final = 3.0  # after an outage of the source ends
 REREGISTER_S: Final = 2.0  # time for a running server to register again
+# After a restore: the store drops a server after three missed statements, in
+# 4.5 s, so what it lists from then on is not left over from the copy.
+SETTLING_S: Final = 6.0
 
 _logger = logging.getLogger(__name__)
 
@@ -33,7 +37,9 @@
 class View:
     """Store the newest configuration and the table of servers.
 
-    Versions and positions only increase, whichever source updates arrive from.
+    Editions and positions only increase, whichever source updates arrive from.
+    A table of a later era replaces the one in use, but does not bring back
+    servers that are known to have left.
     """
 
     decode_configuration: DecodeConfiguration
@@ -42,45 +48,63 @@
     on_change: Callable[[str], None] = _ignore
     configuration: Configuration | None = None
     raw_configuration: bytes = b''
+    _configuration_era: int = 0
     _packed: bytes = b''
     _changes: ChangeWindow = attrs.field(factory=ChangeWindow)
-    position: int = NO_POSITION
+    position: Position = NO_POSITION
     servers: dict[str, BackendServer] = attrs.field(factory=dict)
     changed_at_s: float = 0
     configured_at_s: float = 0
     _recovering_until_s: float = 0
     _expiring: dict[str, float] = attrs.field(factory=dict)
     _raw_servers: dict[str, bytes] = attrs.field(factory=dict)
+    _departures: Departures = attrs.field(factory=Departures)
+    _settling_until_s: float = 0
+    # Entries of a restored store that are older than what is known.
+    _outdated: set[str] = attrs.field(factory=set)
 
     @property
     def version(self) -> int:
         """Return the configuration version in force, 0 if there is none."""
         return self.configuration.version if self.configuration else 0
 
+    @property
+    def edition(self) -> Edition:
+        """Return the edition of the configuration in force."""
+        return Edition(self.version, self._configuration_era)
+
     @property
     def complete(self) -> bool:
         """Return whether both the configuration and the servers are known."""
         return self.configuration is not None and self.position > NO_POSITION
 
-    def offer_configuration(self, raw: bytes, source: str) -> None:
-        """Put a configuration in force if it is valid and newer."""
-        if not raw or raw == self.raw_configuration:
+    def offer_configuration(self, raw: bytes, era: int, source: str) -> None:
+        """Put a configuration in force if it is valid and newer.
+
+        Another one of the same version is newer if it is of a later era.
+        """
+        if not raw:
+            return
+        if raw == self.raw_configuration:
+            self._configuration_era = max(self._configuration_era, era)
             return
         try:
             found = self.decode_configuration(raw)
         except WagtailforkError as exc:
             log_warning(_logger, 'configuration_unreadable', error=exc)
             return
-        if found.version <= self.version:
+        edition = Edition(found.version, era)
+        if edition <= self.edition:
             log_event(
                 _logger,
                 'configuration_not_newer',
-                version=found.version,
-                in_force=self.version,
+                edition=edition,
+                in_force=self.edition,
                 source=source,
             )
             return
         self.configuration = found
+        self._configuration_era = era
         self.raw_configuration = raw
         self._packed = pack(raw)
         self.configured_at_s = now_s()
@@ -89,6 +113,7 @@
             _logger,
             'configuration_in_force',
             version=found.version,
+            era=era,
             routes=len(found.routes),
             source=source,
         )
@@ -96,13 +121,14 @@
     def replace_servers(
         self,
         table: Mapping[str, bytes],
-        position: int,
+        position: Position,
         source: str,
     ) -> None:
         """Replace the whole table of servers unless a later one is known.
 
         A table of the same position is applied: keys missing from it were
-        removed.
+        removed. Those missing from a table of a later era may only be missing
+        from the copy.
         """
         if position < self.position:
             log_event(
@@ -113,9 +139,10 @@
                 source=source,
             )
             return
+        restored = self._enter_era(position.era)
         removed = self._raw_servers.keys() - table.keys()
         for name in removed:
-            self._remove(name, source)
+            self._remove(name, source, restored=restored)
         for name, raw in table.items():
             self._put(name, raw, source)
         self.position = position
@@ -126,11 +153,11 @@
         self,
         name: str,
         raw: bytes | None,
-        position: int,
+        position: Position,
         source: str,
     ) -> None:
         """Apply one record; ``position`` is that of the next record."""
-        if position <= self.position:
+        if position <= self.position or position.era != self.position.era:
             return
         self.position = position
         if raw is None:
@@ -145,7 +172,15 @@
         self._recovering_until_s = now + RECOVERY_WINDOW_S
 
     def remove_expired(self, now: float) -> None:
-        """Remove servers that did not register again in time."""
+        """Remove servers that did not register again in time.
+
+        Apply the entries that were taken for older ones and are still listed
+        once a restored store has settled.
+        """
+        self._departures.remove_expired(now)
+        if self._outdated and now >= self._settling_until_s:
+            self._settling_until_s = 0
+            self._apply_outdated()
         expired = [
             name for name, due_s in self._expiring.items() if now >= due_s
         ]
@@ -156,24 +191,34 @@
         if expired:
             self._notify_change(EXPIRED)
 
-    def snapshot(self, version: int, position: int) -> Snapshot:
-        """Return the changes since a version and a position."""
-        packed = self._packed if self.version > version else b''
+    def snapshot(self, edition: Edition, position: Position) -> Snapshot:
+        """Return the changes since an edition and a position."""
+        configuration = Snapshot(
+            packed_configuration=self._packed
+            if self.edition > edition
+            else b'',
+            configuration_era=self._configuration_era,
+        )
         if self.position <= position:
-            return Snapshot(packed_configuration=packed)
+            return configuration
         changes = self._changes.since(position)
-        return Snapshot(
-            packed_configuration=packed,
+        if changes is not None:
+            return attrs.evolve(
+                configuration, position=self.position, changes=changes
+            )
+        return attrs.evolve(
+            configuration,
             position=self.position,
-            servers=dict(self._raw_servers) if changes is None else None,
-            changes=changes or (),
+            servers=dict(self._raw_servers),
+            departures=self._departures.rows(),
         )
 
     def merge(self, snapshot: Snapshot, source: str) -> None:
         """Apply a snapshot from another VM."""
         packed = snapshot.packed_configuration
         if packed:
-            self.offer_configuration(unpack(packed), source)
+            era = snapshot.configuration_era
+            self.offer_configuration(unpack(packed), era, source)
         if snapshot.servers is None:
             for change in snapshot.changes:
                 self.apply_server(
@@ -183,10 +228,71 @@
                     source,
                 )
         elif snapshot.position > self.position:
+            self._departures.merge(snapshot.departures)
             self.replace_servers(snapshot.servers, snapshot.position, source)
 
+    def _enter_era(self, era: int) -> bool:
+        """Start to settle in a later era; return whether there was another."""
+        if self.position != NO_POSITION and era == self.position.era:
+            return False
+        now = now_s()
+        self._settling_until_s = now + SETTLING_S
+        restored = self.position != NO_POSITION
+        if restored:
+            log_event(
+                _logger, 'table_restored', era=era, before=self.position.era
+            )
+            self.start_recovery_window(now)
+        return restored
+
+    def _apply_outdated(self) -> None:
+        names = sorted(self._outdated)
+        self._outdated.clear()
+        for name in names:
+            raw = self._raw_servers.pop(name, None)
+            if raw is not None:
+                self._put(name, raw, EXPIRED)
+        self._notify_change(EXPIRED)
+
+    def _is_current(self, name: str) -> bool:
+        """Return whether nothing newer than a listed entry may be known."""
+        if self._departures.get(name) is None:
+            return True
+        in_use = self.servers.get(name)
+        return in_use is not None and in_use.draining
+
+    def _reject_outdated(self, found: BackendServer, source: str) -> bool:
+        """Return whether an entry is older than what is known of its server."""
+        settling = now_s() < self._settling_until_s
+        departure = self._departures.get(found.name)
+        in_use = self.servers.get(found.name)
+        if departure is not None and is_superseded(
+            found, departure, settling=settling
+        ):
+            # Another VM may have told of the departure.
+            if in_use is not None and not in_use.draining:
+                self.servers.pop(found.name)
+        elif (
+            not settling
+            or in_use is None
+            or found.age_order >= in_use.age_order
+        ):
+            return False
+        if settling:
+            self._outdated.add(found.name)
+        log_event(
+            _logger,
+            'server_entry_outdated',
+            server=found.name,
+            born=found.started_ms,
+            sequence=found.sequence,
+            draining=found.draining,
+            source=source,
+        )
+        return True
+
     def _put(self, name: str, raw: bytes, source: str) -> None:
-        if self._raw_servers.get(name) == raw:
+        if self._raw_servers.get(name) == raw and self._is_current(name):
             return
         self._raw_servers[name] = raw
         try:
@@ -195,6 +301,13 @@
             # An unreadable entry does not replace a known server.
             log_warning(_logger, 'server_unreadable', server=name, error=exc)
             return
+        if self._reject_outdated(found, source):
+            return
+        self._outdated.discard(name)
+        if found.draining:
+            self._departures.record(found)
+        else:
+            self._departures.forget(name)
         self.servers[name] = found
         self._expiring.pop(name, None)
         log_event(
@@ -206,11 +319,16 @@
             source=source,
         )
 
-    def _remove(self, name: str, source: str) -> None:
+    def _remove(
+        self, name: str, source: str, *, restored: bool = False
+    ) -> None:
         self._raw_servers.pop(name, None)
+        self._outdated.discard(name)
         server = self.servers.get(name)
         if server is None:
             return
+        if server.draining or not restored:
+            self._departures.record(server)
         now = now_s()
         held = now < self._recovering_until_s and not server.draining
         if held:
--- a/wagtailfork/platform/documents.py
+++ b/wagtailfork/platform/documents.py
@@ -182,4 +182,5 @@
         slots=max(1, _require_number(fields, 'capacity')),
         draining=state == _DRAINING,
         warm_up_s=_require_number(fields, 'warmupLeftMs') / _MS_PER_S,
+        sequence=_require_number(fields, 'seq') if 'seq' in fields else 0,
     )
--- a/wagtailfork/platform/source.py
+++ b/wagtailfork/platform/source.py
@@ -11,9 +11,11 @@
 from ..core.clock import now_s
 from ..core.errors import WagtailforkError
 from ..core.logs import log_event, log_warning
+from ..core.results import ResultCode
 from ..fleet.member import Member
+from ..fleet.position import NO_POSITION, Position
 from ..gateway.view import STORE, View
-from .store import KeyedRecord, RecordsTrimmed, StoreClient
+from .store import KeyedRecord, PositionLost, StoreClient
 from .traffic import TRAFFIC_TOPIC, render_summary
 
 _CONFIG_TOPIC: Final = 'keyed.op'
@@ -73,7 +75,7 @@
     _servers_status: _TopicStatus = attrs.field(
         factory=lambda: _TopicStatus(_SERVERS_TOPIC)
     )
-    _config_offset: int | None = None
+    _config_position: Position | None = None
 
     @property
     def reads_store(self) -> bool:
@@ -153,62 +155,70 @@
         return self.wait_s if status.ok else 0
 
     async def _read_configuration(self) -> None:
-        if self._config_offset is None:
+        if self._config_position is None:
             listing = await self.store.list_newest(_CONFIG_TOPIC)
-            self._offer_configuration(listing.records.get(_CONFIG_KEY))
-            self._config_offset = listing.end
+            raw = listing.records.get(_CONFIG_KEY)
+            self._offer_configuration(raw, listing.end)
+            self._config_position = listing.end
             return
         try:
-            records, next_offset = await self.store.read_keyed(
+            records, end = await self.store.read_keyed(
                 _CONFIG_TOPIC,
-                self._config_offset,
+                self._config_position,
                 self._read_wait_s(self._config_status),
             )
-        except RecordsTrimmed as exc:
-            log_event(_logger, 'records_missing', error=exc)
-            self._config_offset = None
+        except PositionLost as exc:
+            log_event(_logger, 'position_lost', error=exc)
+            self._config_position = None
             await asyncio.sleep(self.settle_s)
             return
         for record in records:
             if record.key == _CONFIG_KEY:
-                self._offer_configuration(record.payload)
-        self._config_offset = next_offset
+                self._offer_configuration(record.payload, end)
+        self._config_position = end
 
-    def _offer_configuration(self, raw: bytes | None) -> None:
+    def _offer_configuration(self, raw: bytes | None, end: Position) -> None:
         if raw is not None:
-            self.view.offer_configuration(raw, STORE)
+            self.view.offer_configuration(raw, end.era, STORE)
 
     async def _read_servers(self) -> None:
-        if self.view.position < 0:
+        if self.view.position == NO_POSITION:
             await self._reload_servers()
             return
         try:
-            records, next_offset = await self.store.read_keyed(
+            records, end = await self.store.read_keyed(
                 _SERVERS_TOPIC,
                 self.view.position,
                 self._read_wait_s(self._servers_status),
             )
-        except RecordsTrimmed as exc:
-            log_event(_logger, 'records_missing', error=exc)
+        except PositionLost as exc:
+            log_event(_logger, 'position_lost', error=exc)
             await self._reload_servers()
             await asyncio.sleep(self.settle_s)
             return
-        self._apply_records(records)
+        self._apply_records(records, end.era)
         if records:
             # Batch the changes of servers that change at about the same time.
             await asyncio.sleep(self.settle_s)
 
-    def _apply_records(self, records: list[KeyedRecord]) -> None:
+    def _apply_records(self, records: list[KeyedRecord], era: int) -> None:
         for record in records:
             self.view.apply_server(
                 record.key,
                 record.payload,
-                record.offset + 1,
+                Position(era, record.offset + 1),
                 STORE,
             )
 
     async def _reload_servers(self) -> None:
         listing = await self.store.list_newest(_SERVERS_TOPIC)
+        in_use = self.view.position
+        if listing.end.era < in_use.era:
+            # Asking again at once would not help.
+            raise WagtailforkError(
+                ResultCode.log_unavailable,
+                f'{_SERVERS_TOPIC} ends at {listing.end}, in use is {in_use}',
+            )
         self.view.replace_servers(listing.records, listing.end, STORE)
 
 
--- a/wagtailfork/platform/store.py
+++ b/wagtailfork/platform/store.py
@@ -13,6 +13,7 @@
 from ..core.errors import WagtailforkError
 from ..core.logs import log_event, log_warning
 from ..core.results import ResultCode
+from ..fleet.position import Position
 from ..http1.body import Body
 from ..http1.headers import render_head
 from ..http1.pool import ConnectionPool
@@ -26,6 +27,7 @@
 _MS_PER_S: Final = 1000
 _MAX_RESPONSE_BYTES: Final = 67108864  # fits a listing of 14,000 servers
 _ERA: Final = b'store-era'
+_MAX_ERA: Final = 1000000000  # a larger one is an error
 # The end offset and the first retained offset.
 _OFFSETS: Final = struct.Struct('>QQ')
 _LENGTH: Final = struct.Struct('>I')
@@ -42,13 +44,16 @@
 _logger = logging.getLogger(__name__)
 
 
-class RecordsTrimmed(Exception):
-    """Report that the requested records are no longer retained."""
+class PositionLost(Exception):
+    """Report that a topic cannot be read on from a position.
 
-    def __init__(self, detail: str, first_offset: int | None) -> None:
-        """Store the first retained offset, None if the store gave none."""
+    Its records are no longer retained, or the store was restored since.
+    """
+
+    def __init__(self, detail: str, first: Position | None = None) -> None:
+        """Store the first retained position, None if the store gave none."""
         super().__init__(detail)
-        self.first_offset = first_offset
+        self.first = first
 
 
 @attrs.frozen
@@ -62,10 +67,10 @@
 
 @attrs.frozen
 class Listing:
-    """Hold the newest record of each key and the next offset to read."""
+    """Hold the newest record of each key and the next position to read."""
 
     records: dict[str, bytes]
-    end: int
+    end: Position
 
 
 @attrs.frozen
@@ -73,10 +78,19 @@
     """Hold one page of a listing."""
 
     records: dict[str, bytes]
-    end: int
+    end: Position
     has_more: bool
 
 
+@attrs.frozen
+class Reply:
+    """Hold a response of the store and the era it was given in."""
+
+    status: int
+    payload: bytes
+    era: int
+
+
 @attrs.define(eq=False)
 class StoreClient:
     """Call the store with a timeout on each call."""
@@ -90,46 +104,47 @@
 
     async def list_newest(self, topic: str) -> Listing:
         """Return the newest record of each key of a topic."""
-        records: dict[str, bytes] = {}
-        end: int | None = None
-        after: str | None = None
-        while True:
+        page = await self._newest_page(topic, None)
+        records = dict(page.records)
+        end = page.end
+        while page.has_more:
+            after = next(reversed(records), None)
             page = await self._newest_page(topic, after)
-            if end is None:
-                end = page.end
+            if page.end.era != end.era:
+                raise _unavailable(
+                    f'{topic}: listed from {end} to era {page.end.era}'
+                )
             if page.has_more and not page.records.keys() - records.keys():
                 raise _unavailable(f'{topic}: no new key after {after!r}')
             records.update(page.records)
-            if not page.has_more:
-                return Listing(records, end)
-            after = next(reversed(page.records))
+        return Listing(records, end)
 
     async def read_keyed(
         self,
         topic: str,
-        start: int,
+        start: Position,
         wait_s: float,
-    ) -> tuple[list[KeyedRecord], int]:
-        """Wait for records from an offset; return them and the next offset.
+    ) -> tuple[list[KeyedRecord], Position]:
+        """Wait for records from a position; return them and the next one.
 
-        Raise ``RecordsTrimmed`` if they are no longer retained.
+        Raise ``PositionLost`` if the topic cannot be read on from there.
         """
-        framed, next_offset = await self._read_frames(topic, start, wait_s)
+        framed, end = await self._read_frames(topic, start, wait_s)
         records = [_parse_keyed(record, offset) for offset, record in framed]
-        return [parsed for parsed in records if parsed is not None], next_offset
+        return [parsed for parsed in records if parsed is not None], end
 
     async def read_log(
         self,
         topic: str,
-        start: int,
-    ) -> tuple[list[bytes], int]:
-        """Read records from an offset without waiting for new ones.
+        start: Position,
+    ) -> tuple[list[bytes], Position]:
+        """Read records from a position without waiting for new ones.
 
-        Return them and the next offset; raise ``RecordsTrimmed`` if they are
-        no longer retained.
+        Return them and the next position; raise ``PositionLost`` if the topic
+        cannot be read on from there.
         """
-        framed, next_offset = await self._read_frames(topic, start, 0)
-        return [record for _, record in framed], next_offset
+        framed, end = await self._read_frames(topic, start, 0)
+        return [record for _, record in framed], end
 
     async def put_keyed(self, topic: str, key: str, payload: bytes) -> None:
         """Append one record to a keyed topic."""
@@ -140,41 +155,44 @@
         """Append one record to a topic."""
         raw = _LENGTH.pack(len(record)) + record
         query = urlencode({'topic': topic, 'part': 0})
-        response = await self._call('POST', f'/v1/log-append?{query}', raw)
+        reply = await self._call('POST', f'/v1/log-append?{query}', raw)
         self.written_bytes += len(raw)
-        _expect_ok(response)
+        _expect_ok(reply)
 
     async def _read_frames(
         self,
         topic: str,
-        start: int,
+        start: Position,
         wait_s: float,
-    ) -> tuple[list[tuple[int, bytes]], int]:
+    ) -> tuple[list[tuple[int, bytes]], Position]:
         query = {
             'topic': topic,
             'part': 0,
-            'from': start,
+            'from': start.offset,
             'waitMs': round(wait_s * _MS_PER_S),
         }
-        response = await self._call(
+        reply = await self._call(
             'GET',
             f'/v1/log-read?{urlencode(query)}',
             limit_s=wait_s + _WAIT_GRACE_S,
         )
-        if response.status == _GONE:
-            raise RecordsTrimmed(
-                f'{topic} from {start}', _first_offset(response)
-            )
-        return _parse_frames(_expect_ok(response), start)
+        if reply.status == _GONE:
+            raise PositionLost(f'{topic} from {start}', _first(reply))
+        payload = _expect_ok(reply)
+        if reply.era != start.era:
+            # The offset may exist again and mean another record.
+            raise PositionLost(f'{topic} from {start} in era {reply.era}')
+        framed, offset = _parse_frames(payload, start.offset)
+        return framed, Position(reply.era, offset)
 
     async def _newest_page(self, topic: str, after: str | None) -> _Page:
         query: dict[str, Any] = {'topic': topic, 'part': 0}
         if after is not None:
             query['after'] = after
-        response = await self._call('GET', f'/v1/log-newest?{urlencode(query)}')
-        raw = _expect_ok(response)
+        reply = await self._call('GET', f'/v1/log-newest?{urlencode(query)}')
+        raw = _expect_ok(reply)
         try:
-            return _parse_page(json.loads(raw))
+            return _parse_page(json.loads(raw), reply.era)
         except _PAGE_ERRORS as exc:
             raise _unavailable(f'{topic}: malformed page: {exc!r}') from exc
 
@@ -184,7 +202,7 @@
         target: str,
         payload: bytes = b'',
         limit_s: float = _CALL_TIMEOUT_S,
-    ) -> BackendResponse:
+    ) -> Reply:
         self.calls += 1
         headers = [(b'Host', self.address.encode())]
         body = None
@@ -204,9 +222,7 @@
         except (RequestNotSent, ResponseError) as exc:
             raise _unavailable(f'{target}: {exc}') from exc
 
-    async def _exchange(
-        self, head: bytes, body: Body | None
-    ) -> BackendResponse:
+    async def _exchange(self, head: bytes, body: Body | None) -> Reply:
         conn = await self.pool.acquire(self.address, once=False, timeout_s=1)
         try:
             response = await conn.exchange(head, body)
@@ -220,45 +236,61 @@
         if response.body.truncated:
             raise ResponseError('answer cut short')
         self.read_bytes += response.body.size
-        self._record_era(response)
-        return response
+        return Reply(
+            response.status, response.body.payload(), self._update_era(response)
+        )
 
-    def _record_era(self, response: BackendResponse) -> None:
+    def _update_era(self, response: BackendResponse) -> int:
+        """Return the era of a response; raise ``ResponseError`` if outdated."""
         text = response.find(_ERA)
-        if text is None:
-            return
-        if not text.isdigit():
-            log_warning(_logger, 'store_era_unreadable', found=repr(text))
-            return
-        era = int(text)
+        era = self.era if text is None else parse_era(text)
+        if era is None:
+            log_warning(_logger, 'store_era_unreadable', found=text)
+            return self.era
+        if era < self.era:
+            raise ResponseError(f'era {era} after era {self.era}')
         if era > self.era:
             log_event(_logger, 'store_era', era=era, before=self.era)
             self.era = era
+        return era
+
+
+def parse_era(text: bytes) -> int | None:
+    """Parse an era; None if it is no valid number.
+
+    >>> parse_era(b'2'), parse_era(b'-1'), parse_era(b'x'), parse_era(b'9' * 99)
+    (2, None, None, None)
+    """
+    if not text.isdigit() or len(text) > len(str(_MAX_ERA)):
+        return None
+    era = int(text)
+    return era if era <= _MAX_ERA else None
 
 
-def _parse_page(plain: Any) -> _Page:
+def _parse_page(plain: Any, era: int) -> _Page:
     records = {
         str(row['key']): base64.b64decode(row['value'], validate=True)
         for row in plain['items']
     }
-    return _Page(records, int(plain['end']), bool(plain.get('hasMore')))
+    end = Position(era, int(plain['end']))
+    return _Page(records, end, bool(plain.get('hasMore')))
 
 
 def _unavailable(detail: str) -> WagtailforkError:
     return WagtailforkError(ResultCode.log_unavailable, detail)
 
 
-def _expect_ok(response: BackendResponse) -> bytes:
-    if response.status != _OK:
-        raise _unavailable(f'status {response.status}')
-    return response.body.payload()
+def _expect_ok(reply: Reply) -> bytes:
+    if reply.status != _OK:
+        raise _unavailable(f'status {reply.status}')
+    return reply.payload
 
 
-def _first_offset(response: BackendResponse) -> int | None:
-    """Parse the first retained offset, which a new listing does not need."""
+def _first(reply: Reply) -> Position | None:
+    """Parse the first retained position, which a new listing does not need."""
     try:
-        return int(json.loads(response.body.payload())['first'])
-    except (KeyError, TypeError, ValueError):
+        return Position(reply.era, int(json.loads(reply.payload)['first']))
+    except _PAGE_ERRORS:
         return None
 
 
--- a/wagtailfork/platform/tests/test_store_pages.py
+++ b/wagtailfork/platform/tests/test_store_pages.py
@@ -10,11 +10,11 @@
 
 from ...core.errors import WagtailforkError
 from ...fleet import snapshots
+from ...fleet.position import Position
 from ...fleet.snapshots import pack, unpack
 from ...http1.body import MIN_PIECE_BYTES, Body
-from ...http1.responses import BackendResponse
 from ..documents import decode_configuration
-from ..store import StoreClient
+from ..store import Reply, StoreClient
 from ..traffic import parse_summary
 
 GOOD_ROW = {'key': 'a', 'value': 'eA==', 'offset': 1}
@@ -34,11 +34,8 @@
 
 
 def _list(raw: bytes) -> Any:
-    async def respond(*_args: Any, **_options: Any) -> BackendResponse:
-        body = Body()
-        body.feed(raw)
-        body.finish()
-        return BackendResponse(200, [], body)
+    async def respond(*_args: Any, **_options: Any) -> Reply:
+        return Reply(200, raw, 1)
 
     client = StoreClient('127.0.0.1:1')
     with mock.patch.object(StoreClient, '_call', respond):
@@ -60,7 +57,8 @@
     def test_good_page(self) -> None:
         """A page is decoded to its records and the next offset."""
         listing = _list(json.dumps({'items': [GOOD_ROW], 'end': 3}).encode())
-        self.assertEqual(({'a': b'x'}, 3), (listing.records, listing.end))
+        self.assertEqual({'a': b'x'}, listing.records)
+        self.assertEqual(Position(1, 3), listing.end)
 
 
 class TestRecords(testtools.TestCase):
