List VMs again that a restored store has lost

Cause: a VM registers once and never looks at its entry again, unless it prunes.

test_restored_store.py::TestOwnRecords::test_registrations failed before.

--- a/wagtailfork/gateway/discovery.py
+++ b/wagtailfork/gateway/discovery.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -35,9 +36,11 @@
     source: Source
     link: FleetLink
     membership: Membership
+    era: Callable[[], int]  # of the store
     first_start: bool = False  # of the whole fleet
     started_s: float = attrs.field(factory=now_s)
     _registered: bool = False
+    _checked_era: int = 0  # in which the list is known to be complete
     _pruned_s: float = attrs.field(factory=now_s)
 
     async def run(self) -> None:
@@ -52,15 +55,19 @@
                 await asyncio.sleep(POLL_INTERVAL_S)
 
     async def prune(self, now: float) -> None:
-        """Remove the entries of expired VMs of this failure domain.
+        """Complete the list for this failure domain; remove expired VMs.
 
-        5,000 VMs are replaced per day; their entries would accumulate.
+        5,000 VMs are replaced per day; their entries would accumulate. An
+        entry is missing if the store was restored, or if another VM removed it
+        during a long network partition.
         """
         listed = await self.source.list_vms()
-        me = self.membership.me
-        if me.address not in {one.address for one in listed}:
-            # Another VM removed the entry, after a long network partition.
-            await self.source.register_vm(me)
+        addresses = {one.address for one in listed}
+        domain = self.membership.me.failure_domain
+        for running in self.membership.in_domain(domain, now):
+            if running.address not in addresses:
+                await self.source.register_vm(running)
+                log_event(_logger, 'vm_listed_again', peer=running.address)
         for member in listed:
             if self._is_expired(member, now):
                 await self.source.deregister_vm(member.address)
@@ -70,14 +77,22 @@
         if not self._registered:
             await self.source.register_vm(self.membership.me)
             self._registered = True
+            self._checked_era = self.era()
             await self._contact_first()
             await asyncio.sleep(RETRY_DELAY_S)
         now = now_s()
         if self.membership.count(now) == 1:
             await self._contact_listed()
-        if now - self._pruned_s > PRUNE_INTERVAL_S and self._is_pruner(now):
-            self._pruned_s = now
+        if self._is_due(now) and self._is_pruner(now):
+            era = self.era()
             await self.prune(now)
+            self._pruned_s = now
+            self._checked_era = era
+
+    def _is_due(self, now: float) -> bool:
+        """Return whether the list may have changed without this VM."""
+        restored = self.era() > self._checked_era
+        return restored or now - self._pruned_s > PRUNE_INTERVAL_S
 
     async def _contact_first(self) -> None:
         """Contact the registered VMs, unless one of them was faster.
--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -127,6 +127,7 @@
             source=self.source,
             link=self.link,
             membership=self.membership,
+            era=self._store_era,
             first_start=cfg.first_start,
         )
         self.replicator = TrafficReplicator(
@@ -302,6 +303,10 @@
     def _reads_store(self) -> bool:
         return self.source.reads_store
 
+    def _store_era(self) -> int:
+        """Return the latest era that this VM or another one heard of."""
+        return max(self.source.usage.era, self.view.position.era)
+
     def _vm_count(self) -> int:
         return self.membership.count(now_s())
 
