Append traffic sums again that a restored store has lost

Users: sums that were appended in the seconds that a drill undoes were missing in reports of whose traffic went where (by test).

Cause: a sum was forgotten once its append had been acknowledged. The appends of the last minute are retained and repeated in a later era; reports count a sum once. Left: sums that a VM appends as it stops, within the lost seconds, are lost with it.

--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -37,6 +37,7 @@
 from .prober import Prober
 from .reader_election import ReaderElection, start_of_reading_s
 from .responder import Responder
+from .retained_appends import RetainedAppends
 from .second_copy import HedgePolicy
 from .sender import Sender
 from .shutdown import shut_down
@@ -102,10 +103,13 @@
         self.limit_shares = LimitShares(
             self.membership, self.placer, cfg.regions
         )
+        self.appends = RetainedAppends(
+            append_once=self._append_traffic, era=self._store_era
+        )
         self.ledger = Ledger(
             cfg.vm,
             str(self.membership.me.incarnation),
-            self._append_traffic,
+            self.appends.append,
             cfg.traffic_flush_s,
         )
         self.forwarder = self._make_forwarder()
@@ -133,7 +137,7 @@
         self.replicator = TrafficReplicator(
             ledger=self.ledger,
             membership=self.membership,
-            append=self._append_traffic,
+            append=self.appends.append,
         )
         self.prober = self._make_prober()
         directory = adapter.make_directory(self.is_ready, self._addresses)
@@ -266,6 +270,7 @@
         supervisor.add('ticker', self._tick)
         supervisor.add('traffic', self.ledger.run)
         supervisor.add('traffic_keeper', self.replicator.run)
+        supervisor.add('retained_appends', self.appends.run)
         await supervisor.run()
 
     async def _listen(self) -> None:
