Let an odd server entry cost only itself

Told by another operator: another writer left one odd entry among those of the servers, and the VMs that read the list ended or stopped following it.

- A name or service with a lone surrogate made the log raise; while the table was listed, that ended the reading of servers again and again.
- A port beyond 65535, or a host name, was taken for an address: each connection to it raised an error that nobody expected, or asked a name server.
- A name that is no header text broke the head of requests; 10^14 slots and a warm-up of years were taken.

Names, texts, addresses and numbers of an entry are checked where it is decoded, and the log escapes what it cannot write.

--- a/wagtailfork/core/address.py
+++ b/wagtailfork/core/address.py
@@ -1,7 +1,7 @@
-"""Parsing of IP addresses with a port in settings and messages."""
+"""Parsing of IP addresses with a port in settings, entries and messages."""
 
 import ipaddress
-from typing import Final
+from typing import Any, Final
 
 from .errors import WagtailforkError
 from .results import ResultCode
@@ -26,3 +26,19 @@
     if not port.isdecimal() or int(port) > _MAX_PORT:
         raise WagtailforkError(ResultCode.settings_invalid, text)
     return host, int(port)
+
+
+def is_address(found: Any) -> bool:
+    """Return whether a connection can be opened to ``ip:port``.
+
+    >>> is_address('10.0.0.1:80'), is_address('10.0.0.1:99999')
+    (True, False)
+    >>> is_address('example:80'), is_address('10.0.0.1:0'), is_address(5)
+    (False, False, False)
+    """
+    if not isinstance(found, str) or not found.isascii() or '[' in found:
+        return False
+    try:
+        return split_address(found)[1] > 0
+    except WagtailforkError:
+        return False
--- a/wagtailfork/core/event_log.py
+++ b/wagtailfork/core/event_log.py
@@ -20,17 +20,22 @@
 
 
 def render_pair(key: str, plain: Any) -> str:
-    """Render one key=value pair of a log line.
+    r"""Render one key=value pair of a log line.
 
     >>> render_pair('age_ms', 1.26), render_pair('why', 'no slot')
     ('age_ms=1.3', 'why="no slot"')
+    >>> print(render_pair('zone', 'a\r\udfff'))
+    zone="a\r\udfff"
     """
     if isinstance(plain, float):
         return f'{key}={plain:.1f}'
     text = str(plain)
-    if _NEEDS_QUOTES.isdisjoint(text):
+    if text.isprintable() and _NEEDS_QUOTES.isdisjoint(text):
         return f'{key}={text}'
     quoted = text.replace('"', "'").replace('\n', ' ')
+    if not quoted.isprintable():
+        # Control characters could fake a line, surrogates cannot be encoded.
+        quoted = quoted.encode('unicode_escape').decode('ascii')
     return f'{key}="{quoted}"'
 
 
--- a/wagtailfork/platform/documents.py
+++ b/wagtailfork/platform/documents.py
@@ -2,8 +2,10 @@
 
 import json
 import math
+import reprlib
 from typing import Any, Final
 
+from ..core.address import is_address
 from ..core.errors import WagtailforkError
 from ..core.results import ResultCode
 from ..gateway.model import BackendServer, Configuration
@@ -19,14 +21,22 @@
 }
 # A larger number cannot be a count, a time or a size.
 _MAX_NUMBER: Final = 1000000000000000
+_MAX_SLOTS: Final = 100000
+_MAX_WARM_UP_MS: Final = 86400000  # a day
+_MAX_CONNECTIONS: Final = 1000000
 _READY: Final = 'ready'
 _DRAINING: Final = 'draining'
 
 
+_BRIEF: Final = reprlib.Repr()  # bounds depth and size of what it renders
+_BRIEF.maxother = _MAX_ERROR_CHARS
+_BRIEF.maxstring = _MAX_ERROR_CHARS
+
+
 def _malformed(what: str, found: Any) -> WagtailforkError:
     return WagtailforkError(
         ResultCode.record_malformed,
-        f'{what}: {found!r}'[:_MAX_ERROR_CHARS],
+        f'{what}: {_BRIEF.repr(found)}'[:_MAX_ERROR_CHARS],
     )
 
 
@@ -143,20 +153,27 @@
 
 def _require_text(fields: dict[str, Any], key: str) -> str:
     found = fields.get(key)
-    if not isinstance(found, str) or not found:
+    if not isinstance(found, str) or not found or not found.isprintable():
         raise _malformed(key, found)
     return found
 
 
-def _require_number(fields: dict[str, Any], key: str) -> int:
+def _require_number(
+    fields: dict[str, Any], key: str, maximum: int = _MAX_NUMBER
+) -> int:
     found = fields.get(key)
     if isinstance(found, bool) or not isinstance(found, (int, float)):
         raise _malformed(key, found)
-    if not 0 <= found <= _MAX_NUMBER:
+    if not 0 <= found <= maximum:
         raise _malformed(key, found)
     return int(found)
 
 
+def _is_header_text(text: str) -> bool:
+    """Return whether a text can stand in the head of a request."""
+    return bool(text) and text.isascii() and text.isprintable()
+
+
 def decode_server(name: str, raw: bytes) -> BackendServer:
     """Decode the entry of a backend server; raise ``record_malformed``.
 
@@ -165,13 +182,15 @@
     ...
     wagtailfork.core.errors.WagtailforkError: code=5006 ...
     """
+    # Requests name the server in a header.
+    if not _is_header_text(name) or ' ' in name:
+        raise _malformed('name', name)
     fields = _parse_object(raw)
     state = _require_text(fields, 'state')
     if state not in {_READY, _DRAINING}:
         raise _malformed('state', state)
     address = _require_text(fields, 'address')
-    host, colon, port = address.rpartition(':')
-    if not host or not colon or not port.isdecimal():
+    if not is_address(address):
         raise _malformed('address', address)
     return BackendServer(
         name=name,
@@ -179,8 +198,9 @@
         service=_require_text(fields, 'service'),
         address=address,
         failure_domain=_require_text(fields, 'zone'),
-        slots=max(1, _require_number(fields, 'capacity')),
+        slots=max(1, _require_number(fields, 'capacity', _MAX_SLOTS)),
         draining=state == _DRAINING,
-        warm_up_s=_require_number(fields, 'warmupLeftMs') / _MS_PER_S,
+        warm_up_s=_require_number(fields, 'warmupLeftMs', _MAX_WARM_UP_MS)
+        / _MS_PER_S,
         sequence=_require_number(fields, 'seq') if 'seq' in fields else 0,
     )
