Let an odd entry of the VM list cost only itself

A nested entry raised an error that nobody expected: VMs that started read the list again and again, up to the nesting, and found no others. A host name or a port beyond 65535 was taken for an address and ended the sending of heartbeats. Entries are checked like those of servers. Failed before: test_odd_entries.py::TestOddEntries::test_odd_vms_in_the_list.

--- a/wagtailfork/gateway/tests/test_odd_entries.py
+++ b/wagtailfork/gateway/tests/test_odd_entries.py
@@ -18,9 +18,9 @@
 CALLS = 8
 SETTLE_S = 0.6  # three heartbeats
 HUGE = 10**40
-NESTED = b'[' * 100000 + b']' * 100000
-NESTED_FIELDS = b'{"a":' * 900 + b'1' + b'}' * 900
-NESTED_LIST = b'[' * 900 + b']' * 900
+NESTED = b''.join((b'[' * 100000, b']' * 100000))
+NESTED_FIELDS = b''.join((b'{"a":' * 900, b'1', b'}' * 900))
+NESTED_LIST = b''.join((b'[' * 900, b']' * 900))
 ODD_FIELDS: tuple[dict[str, Any], ...] = (
     {'address': '127.0.0.1:99999'},
     {'address': '127.0.0.1:0'},
@@ -53,7 +53,9 @@
     b'{"callers": "127.0.0.1:99999", "domain": "a", "region": "r"}',
     b'{"callers": "nobody", "domain": "a", "region": "r"}',
     b'{"callers": "127.0.0.1:80", "domain": ["a"], "region": "r"}',
-    b'{"callers": "127.0.0.1:80", "domain": "\\ud800", "region": "r"}',
+    json.dumps(
+        {'callers': '127.0.0.1:80', 'domain': '\ud800', 'region': 'r'}
+    ).encode(),
     b'[]',
     b'\xff',
     NESTED,
@@ -226,7 +228,7 @@
         for node in rig.nodes:
             self.assertEqual({'b0', 'b1'}, set(node.view.servers))
         for number in range(CALLS):
-            for index in range(len(rig.nodes)):
+            for index, _ in enumerate(rig.nodes):
                 request_id = f'r{number}-{index}'
                 response = await rig.call('/pay/1', request_id, b'x', index)
                 self.assertEqual(200, response.status)
--- a/wagtailfork/platform/source.py
+++ b/wagtailfork/platform/source.py
@@ -14,6 +14,7 @@
 from ..core.results import ResultCode
 from ..fleet.member import Member
 from ..fleet.position import NO_POSITION, Position
+from ..fleet.wire_values import as_address, as_text
 from ..gateway.view import STORE, View
 from .store import KeyedRecord, PositionLost, StoreClient
 from .traffic import TRAFFIC_TOPIC, render_summary
@@ -24,6 +25,7 @@
 _VMS_TOPIC: Final = 'keyed.wagtailfork-vms'
 _BACKOFF_S: Final = 0.25  # times the failures in a row after the first
 _MAX_BACKOFF_S: Final = 1.0
+_ENTRY_ERRORS: Final = (KeyError, RecursionError, TypeError, ValueError)
 _ELECTION_CHECK_S: Final = 0.1  # a sixteenth of a reader's lease
 
 _logger = logging.getLogger(__name__)
@@ -116,7 +118,7 @@
         for key, raw in listing.records.items():
             try:
                 members.append(_parse_vm(key, raw))
-            except (KeyError, TypeError, ValueError) as exc:
+            except _ENTRY_ERRORS as exc:
                 log_warning(_logger, 'vm_unreadable', peer=key, error=repr(exc))
         return members
 
@@ -234,9 +236,9 @@
 def _parse_vm(address: str, raw: bytes) -> Member:
     fields = json.loads(raw)
     return Member(
-        address=address,
-        caller_address=str(fields['callers']),
-        failure_domain=str(fields['domain']),
-        region=str(fields['region']),
+        address=as_address(address),
+        caller_address=as_address(fields['callers']),
+        failure_domain=as_text(fields['domain']),
+        region=as_text(fields['region']),
         incarnation=0,
     )
