Let an odd row of a heartbeat cost only itself

One odd row cost the whole heartbeat. One with an odd address was taken over and ended the sending of heartbeats at the next round: others counted the VM as down. Addresses, texts and numbers of messages are checked as they are decoded; a row of the sender itself must be whole.

--- a/wagtailfork/fleet/messages.py
+++ b/wagtailfork/fleet/messages.py
@@ -1,5 +1,6 @@
 """Datagram messages between entry VMs, encoded as CBOR lists."""
 
+import logging
 from functools import singledispatch
 from typing import Any, Final
 
@@ -7,11 +8,13 @@
 import cbor2
 
 from ..core.errors import WagtailforkError
+from ..core.logs import log_warning
 from ..core.results import ResultCode
 from .member import Member, MemberRow, MemberUpdate
 from .placement_codec import PLACEMENT_PARSERS, render_placement
 from .placement_messages import PlacementMessage
 from .position import Edition, Position
+from .wire_values import as_address, as_count, as_number, as_text
 
 _MAX_ERROR_CHARS: Final = 99  # of a decoder error
 _HEARTBEAT_KIND: Final = 1
@@ -19,11 +22,14 @@
 _HEARTBEAT_REQUEST_KIND: Final = 4
 _MEMBER_NUMBERS: Final = slice(4, None)  # integer fields of a member row
 _KNOWLEDGE_NUMBERS: Final = slice(3, 7)  # of those, what the VM knows
+_MEMBER_FIELD_COUNT: Final = 11
 _UPDATE_FIELD_COUNT: Final = 8
 _READY_FLAG: Final = 1
 _READING_FLAG: Final = 2
 _DOWN_FLAG: Final = 4
 
+_logger = logging.getLogger(__name__)
+
 
 @attrs.frozen
 class Heartbeat:
@@ -123,13 +129,28 @@
     return Edition(version, config_era), Position(era, offset)
 
 
-def _parse_row(row: list[Any]) -> MemberRow:
+def _parse_heartbeat(parts: list[Any]) -> Heartbeat:
+    """Parse the rows, which describe VMs other than the sender but the first.
+
+    A malformed row is left out, except that of the sender.
+    """
+    rows = [_parse_row(row) for row in parts[:1]]
+    for row in parts[1:]:
+        try:
+            rows.append(_parse_row(row))
+        except (TypeError, ValueError) as exc:
+            error = repr(exc)[:_MAX_ERROR_CHARS]
+            log_warning(_logger, 'row_unreadable', error=error)
+    return Heartbeat(rows)
+
+
+def _parse_row(row: Any) -> MemberRow:
+    if not isinstance(row, list):
+        raise TypeError(f'row of type {type(row).__name__}')
     if len(row) != _UPDATE_FIELD_COUNT:
         return _parse_member(row)
-    address, *numbers = row
-    if not isinstance(address, str):
-        raise TypeError(f'address {address!r}')
-    parts = [int(number) for number in numbers]
+    address = as_address(row[0])
+    parts = [as_count(number) for number in row[1:]]
     flags = parts[2]
     edition, position = _parse_knowledge(parts[_KNOWLEDGE_NUMBERS])
     return MemberUpdate(
@@ -159,18 +180,18 @@
 
 
 def _parse_member(row: list[Any]) -> Member:
-    address, port = row[:2]
-    if not isinstance(address, str) or not isinstance(port, str):
-        raise TypeError(f'member address {address!r} {port!r}')
+    if len(row) != _MEMBER_FIELD_COUNT:
+        raise ValueError(f'row of {len(row)} fields')
+    address = as_address(row[0])
     host = address.rpartition(':')[0]
-    numbers = [int(part) for part in row[_MEMBER_NUMBERS]]
+    numbers = [as_count(part) for part in row[_MEMBER_NUMBERS]]
     flags = numbers[2]
     edition, position = _parse_knowledge(numbers[_KNOWLEDGE_NUMBERS])
     return Member(
         address=address,
-        caller_address=f'{host}:{port}',
-        failure_domain=str(row[2]),
-        region=str(row[3]),
+        caller_address=as_address(f'{host}:{as_text(row[1])}'),
+        failure_domain=as_text(row[2]),
+        region=as_text(row[3]),
         incarnation=numbers[0],
         heartbeat_count=numbers[1],
         ready=bool(flags & _READY_FLAG),
@@ -182,12 +203,10 @@
 
 
 _DECODERS: Final[dict[int, Any]] = {
-    _HEARTBEAT_KIND: lambda parts: Heartbeat(
-        [_parse_row(row) for row in parts]
-    ),
+    _HEARTBEAT_KIND: _parse_heartbeat,
     _HEARTBEAT_REQUEST_KIND: lambda parts: HeartbeatRequest(
         _parse_member(parts[0])
     ),
-    _STRIKE_KIND: lambda parts: Strike(int(parts[0]), str(parts[1])),
+    _STRIKE_KIND: lambda parts: Strike(as_number(parts[0]), as_text(parts[1])),
     **PLACEMENT_PARSERS,
 }
--- a/wagtailfork/fleet/placement_codec.py
+++ b/wagtailfork/fleet/placement_codec.py
@@ -14,6 +14,7 @@
     PlacementQueued,
     PlacementRequest,
 )
+from .wire_values import as_address, as_number, as_text
 
 _US_PER_MS: Final = 1000
 _REQUEST_KIND: Final = 5
@@ -82,11 +83,11 @@
 
 
 def _parse_request(parts: list[Any]) -> PlacementRequest:
-    figures = [int(part) for part in parts[_FIGURES]]
+    figures = [as_number(part) for part in parts[_FIGURES]]
     return PlacementRequest(
-        sender=_text(parts[0]),
-        number=int(parts[1]),
-        service=_text(parts[2]),
+        sender=as_address(parts[0]),
+        number=as_number(parts[1]),
+        service=as_text(parts[2]),
         rank=figures[0],
         age_ms=figures[1],
         objective_ms=figures[2],
@@ -99,15 +100,17 @@
 
 
 def _parse_placed(parts: list[Any]) -> Placed:
-    return Placed(int(parts[0]), _text(parts[1]))
+    return Placed(as_number(parts[0]), as_text(parts[1]))
 
 
 def _parse_queued(parts: list[Any]) -> PlacementQueued:
-    return PlacementQueued(int(parts[0]), int(parts[1]))
+    return PlacementQueued(as_number(parts[0]), as_number(parts[1]))
 
 
 def _parse_declined(parts: list[Any]) -> PlacementDeclined:
-    return PlacementDeclined(int(parts[0]), _text(parts[1]), int(parts[2]))
+    return PlacementDeclined(
+        as_number(parts[0]), as_text(parts[1]), as_number(parts[2])
+    )
 
 
 def _parse_ended(parts: list[Any]) -> PlacementEnded:
@@ -115,24 +118,18 @@
     has_load = len(row) >= LOAD_ROW_SIZE
     load_row = row[:LOAD_ROW_SIZE] if has_load else []
     return PlacementEnded(
-        sender=_text(sender),
-        number=int(number),
+        sender=as_address(sender),
+        number=as_number(number),
         outcome=Outcome(outcome),
         load=parse_load_row(load_row) if load_row else None,
         limit=parse_limit_row(row[len(load_row) :]),
     )
 
 
-def _text(field: Any) -> str:
-    if not isinstance(field, str):
-        raise TypeError(f'{field!r} is not a text')
-    return field
-
-
 def _texts(fields: Any) -> tuple[str, ...]:
     if not isinstance(fields, list):
         raise TypeError(f'{fields!r} is not a list')
-    return tuple(_text(field) for field in fields)
+    return tuple(as_text(field) for field in fields)
 
 
 PLACEMENT_PARSERS: Final[dict[int, Any]] = {
