--- a/wagtailfork/fleet/snapshots.py
+++ b/wagtailfork/fleet/snapshots.py
@@ -1,21 +1,25 @@
 """Transfer of configuration and server table between VMs."""
 
 import asyncio
+import logging
 import zlib
-from collections.abc import Mapping
-from typing import Any, Final
+from collections.abc import Callable, Iterable, Mapping
+from functools import partial
+from typing import Any, Final, TypeVar
 from urllib.parse import parse_qs, urlencode, urlsplit
 
 import attrs
 import cbor2
 
 from ..core.errors import WagtailforkError
+from ..core.logs import log_warning
 from ..core.results import ResultCode
 from ..http1.backend import connect
 from ..http1.headers import render_head
 from ..http1.request import CallerRequest
 from ..http1.responses import RequestNotSent, ResponseError
 from .position import NO_POSITION, Edition, Position
+from .wire_values import as_bytes, as_count, as_name, as_number
 
 _PATH: Final = '/snapshot'
 _QUERY_NAMES: Final = ('version', 'config_era', 'era', 'offset')
@@ -24,6 +28,10 @@
 MAX_SNAPSHOT_BYTES: Final = 33554432
 _MAX_ERROR_CHARS: Final = 99  # of a decoder error
 
+Row = TypeVar('Row')
+
+_logger = logging.getLogger(__name__)
+
 
 @attrs.frozen
 class Change:
@@ -187,32 +195,56 @@
 
 
 def _parse_parts(parts: Any) -> Snapshot:
-    position = Position(int(parts['era']), int(parts['offset']))
+    position = Position(as_count(parts['era']), as_number(parts['offset']))
     servers = parts['servers']
     table = None
     if servers is not None:
-        table = {str(name): bytes(entry) for name, entry in servers.items()}
+        rows = _parse_rows(_parse_entry, servers.items())
+        table = dict(rows)
     return Snapshot(
-        packed_configuration=bytes(parts['configuration']),
-        configuration_era=int(parts['configuration_era']),
+        packed_configuration=as_bytes(parts['configuration']),
+        configuration_era=as_count(parts['configuration_era']),
         position=position,
         servers=table,
         changes=tuple(
-            _parse_change(row, position.era) for row in parts['changes']
+            _parse_rows(
+                partial(_parse_change, era=position.era), parts['changes']
+            )
         ),
-        departures=tuple(_parse_departure(row) for row in parts['departures']),
+        departures=tuple(_parse_rows(_parse_departure, parts['departures'])),
     )
 
 
+def _parse_rows(
+    parse_row: Callable[[Any], Row], rows: Iterable[Any]
+) -> list[Row]:
+    """Parse rows; leave out malformed ones."""
+    parsed = []
+    for row in rows:
+        try:
+            parsed.append(parse_row(row))
+        except (TypeError, ValueError) as exc:
+            error = repr(exc)[:_MAX_ERROR_CHARS]
+            log_warning(_logger, 'row_unreadable', error=error)
+    return parsed
+
+
+def _parse_entry(row: Any) -> tuple[str, bytes]:
+    name, entry = row
+    return as_name(name), as_bytes(entry)
+
+
 def _parse_change(row: Any, era: int) -> Change:
     name, entry, offset = row
     return Change(
-        str(name),
-        None if entry is None else bytes(entry),
-        Position(era, int(offset)),
+        as_name(name),
+        None if entry is None else as_bytes(entry),
+        Position(era, as_count(offset)),
     )
 
 
 def _parse_departure(row: Any) -> Departure:
     name, started_ms, sequence, draining = row
-    return Departure(str(name), int(started_ms), int(sequence), bool(draining))
+    return Departure(
+        as_name(name), as_count(started_ms), as_count(sequence), bool(draining)
+    )
