Reject a configuration with numbers or texts that make no sense

A version of 40 digits was taken, and no later one any more; a route's prefix or a health path that is no text raised errors in requests and probes. Fields are checked as they are decoded; the configuration in force stays.

--- a/wagtailfork/platform/documents.py
+++ b/wagtailfork/platform/documents.py
@@ -23,7 +23,6 @@
 _MAX_NUMBER: Final = 1000000000000000
 _MAX_SLOTS: Final = 100000
 _MAX_WARM_UP_MS: Final = 86400000  # a day
-_MAX_CONNECTIONS: Final = 1000000
 _READY: Final = 'ready'
 _DRAINING: Final = 'draining'
 
@@ -88,7 +87,7 @@
         for name, fields in document['services'].items()
     }
     return Configuration(
-        version=int(document['version']),
+        version=_require_number(document, 'version'),
         routes=routes,
         services=services,
         limits=_read_limits(document.get('limits') or {}),
@@ -97,13 +96,13 @@
 
 
 def _read_route(name: str, fields: dict[str, Any]) -> Route:
-    timeout_ms = fields.get('timeoutMs')
+    timeout_ms = _optional_number(fields, 'timeoutMs')
     # The default objective is 1 s.
-    objective_ms = fields.get('targetLatencyMs') or _MS_PER_S
+    objective_ms = _optional_number(fields, 'targetLatencyMs') or _MS_PER_S
     return Route(
         name=name,
-        host=fields['host'],
-        prefix=fields['pathPrefix'],
+        host=_require_text(fields, 'host'),
+        prefix=_require_text(fields, 'pathPrefix'),
         kind=_KINDS.get(fields.get('type', ''), RequestKind.once),
         weighted_services=_read_weighted_services(fields),
         timeout_s=timeout_ms / _MS_PER_S if timeout_ms else None,
@@ -118,30 +117,34 @@
 ) -> tuple[tuple[str, float], ...]:
     backends = fields.get('backends')
     if not backends:
-        return ((fields['service'], 1.0),)
-    services = [(each['service'], float(each['weight'])) for each in backends]
+        return ((_require_text(fields, 'service'), 1.0),)
+    services = [
+        (_require_text(each, 'service'), float(each['weight']))
+        for each in backends
+    ]
     return tuple(each for each in services if each[1] > 0) or tuple(services)
 
 
 def _read_service(name: str, fields: dict[str, Any]) -> ServiceRule:
+    health_path = fields.get('healthPath') or '/health'
+    if not isinstance(health_path, str) or not _is_target(health_path):
+        raise _malformed('healthPath', health_path)
     return ServiceRule(
         name=name,
-        health_path=fields.get('healthPath') or '/health',
-        max_connections=int(fields.get('maxConns') or 0),
+        health_path=health_path,
+        max_connections=_optional_number(fields, 'maxConns'),
     )
 
 
 def _read_limits(fields: dict[str, Any]) -> Limits:
     defaults = Limits()
-    header_ms = fields.get('headerTimeoutMs')
-    idle_ms = fields.get('idleTimeoutMs')
+    header_ms = _optional_number(fields, 'headerTimeoutMs')
+    idle_ms = _optional_number(fields, 'idleTimeoutMs')
     return Limits(
-        max_header_bytes=int(
-            fields.get('maxHeaderBytes') or defaults.max_header_bytes,
-        ),
-        max_body_bytes=int(
-            fields.get('maxBodyBytes') or defaults.max_body_bytes
-        ),
+        max_header_bytes=_optional_number(fields, 'maxHeaderBytes')
+        or defaults.max_header_bytes,
+        max_body_bytes=_optional_number(fields, 'maxBodyBytes')
+        or defaults.max_body_bytes,
         header_timeout_s=header_ms / _MS_PER_S
         if header_ms
         else defaults.header_timeout_s,
@@ -169,6 +172,18 @@
     return int(found)
 
 
+def _optional_number(fields: dict[str, Any], key: str) -> int:
+    """Return a number, 0 if it is missing or null."""
+    if fields.get(key) is None:
+        return 0
+    return _require_number(fields, key)
+
+
+def _is_target(text: str) -> bool:
+    """Return whether a text can be the target of a request."""
+    return text.startswith('/') and _is_header_text(text) and ' ' not in text
+
+
 def _is_header_text(text: str) -> bool:
     """Return whether a text can stand in the head of a request."""
     return bool(text) and text.isascii() and text.isprintable()
