Let an odd summary of a replica cost only itself

A summary that is none was kept, and ended the appending of replicas of lost VMs again and again. Summaries are checked as they arrive.

--- a/wagtailfork/gateway/traffic_keeper.py
+++ b/wagtailfork/gateway/traffic_keeper.py
@@ -15,10 +15,10 @@
 from ..core.errors import WagtailforkError
 from ..core.logs import log_event, log_warning
 from ..core.results import ResultCode
-from ..core.structure import render_plain
+from ..core.structure import parse_plain, render_plain
 from ..fleet.delivery import post_message
 from ..fleet.members import Membership
-from ..traffic.ledger import AppendSummary, Ledger
+from ..traffic.ledger import AppendSummary, Ledger, TrafficSummary
 
 REPLICATE_INTERVAL_S: Final = 10.0  # bounds the traffic lost with a VM
 ORPHAN_DELAY_S: Final = 5.0  # a VM that was only partitioned is back by then
@@ -71,7 +71,7 @@
         """Store a neighbour's replica; raise ``frame_malformed``."""
         try:
             address, incarnation, summaries = cbor2.loads(raw)
-            replica = _Replica(str(address), list(summaries))
+            replica = _Replica(str(address), _parse_summaries(summaries))
             member_key = (replica.address, int(incarnation))
         except Exception as exc:
             # Arbitrary bytes make the decoder raise many kinds of errors.
@@ -108,3 +108,16 @@
             replica.summaries.pop(0)
         self._replicas.pop(member_key, None)
         log_event(_logger, 'traffic_rescued', peer=replica.address)
+
+
+def _parse_summaries(found: Any) -> list[Any]:
+    """Return the valid summaries of a replica as plain values."""
+    summaries = []
+    for plain in list(found):
+        try:
+            parse_plain(plain, TrafficSummary, ResultCode.frame_malformed)
+        except WagtailforkError as exc:
+            log_warning(_logger, 'summary_unreadable', error=exc)
+            continue
+        summaries.append(plain)
+    return summaries
