Stop sending to a server that says that it leaves

Nothing read the header. A VM that hears it marks the server as draining, which only a newer process of the server ends; what placements and queues already do with draining servers follows. An answer about an earlier process is ignored.

test_server_statements.py::TestLeaving: the store, two VMs and a new entry say ready; failed before (TimeoutError), the test of odd values passed.

--- a/wagtailfork/gateway/dialect.py
+++ b/wagtailfork/gateway/dialect.py
@@ -32,6 +32,7 @@
     load: LoadReport | None = None
     # Requests a second that the server accepts; None if unreadable.
     limit: float | None = NO_LIMIT
+    leaving: bool | None = False  # None if unreadable
 
 
 class Dialect(Protocol):
--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -42,6 +42,7 @@
 from .sender import Sender
 from .shutdown import shut_down
 from .side_handlers import MetricsHandler, PeerHandler
+from .statement_recorder import StatementRecorder
 from .traffic_keeper import TrafficReplicator
 from .view import STORE, View
 
@@ -67,6 +68,7 @@
         self.pool = ConnectionPool()
         self.meters = Meters()
         self.limits = LimitRecorder(self.log, self._on_limit_changed)
+        self.statements = StatementRecorder(self.log, self._on_leaving)
         self.draining = False
         self.planned_stop = PlannedStop.from_settings(cfg)
         self._stop = asyncio.Event()
@@ -231,6 +233,7 @@
             log=self.log,
             suspect_crash=self._suspect_crash,
             limits=self.limits,
+            statements=self.statements,
             planned_stop=self.planned_stop,
             record_send=TrafficAccounting(
                 ledger=self.ledger,
@@ -258,6 +261,7 @@
             dialect=self.adapter.dialect,
             log=self.log,
             limits=self.limits,
+            statements=self.statements,
         )
 
     async def _supervise(self) -> None:
@@ -321,6 +325,11 @@
     def _on_limit_changed(self, candidate: Candidate) -> None:
         self.limit_shares.apply_change(candidate, now_s())
 
+    def _on_leaving(self, candidate: Candidate) -> None:
+        # An old response may be about an earlier process of the server.
+        if self._is_listed(candidate):
+            self.view.record_leaving(candidate.name)
+
     async def _refresh_load(self, candidate: Candidate) -> bool:
         return await self.prober.refresh_load(candidate)
 
--- a/wagtailfork/gateway/prober.py
+++ b/wagtailfork/gateway/prober.py
@@ -20,6 +20,7 @@
 from .dialect import Dialect
 from .limit_recorder import LimitRecorder
 from .model import BackendServer
+from .statement_recorder import StatementRecorder
 from .view import View
 
 PROBE_TIMEOUT_S: Final = 0.25  # after which a probe counts as failed
@@ -37,6 +38,7 @@
     dialect: Dialect
     log: EventLog
     limits: LimitRecorder
+    statements: StatementRecorder
     probes: int = 0
 
     async def refresh_load(self, candidate: Candidate) -> bool:
@@ -124,6 +126,7 @@
             candidate.load.eject(now_s())
             return True
         self.limits.record_probe(candidate, metadata.limit)
+        self.statements.record_leaving(candidate, metadata)
         if metadata.load is None:
             return False
         candidate.load.unanswered_probes = 0
--- a/wagtailfork/gateway/sender.py
+++ b/wagtailfork/gateway/sender.py
@@ -21,6 +21,7 @@
 from .dialect import Dialect, ResponseMetadata
 from .limit_recorder import LimitRecorder
 from .planned_stop import PlannedStop
+from .statement_recorder import StatementRecorder
 from .placement_client import Placement, PlacementClient
 
 CONNECT_TIMEOUT_S: Final = 0.4  # six round trips between regions
@@ -45,6 +46,7 @@
     suspect_crash: Callable[[str, str], None]
     record_send: RecordSend
     limits: LimitRecorder
+    statements: StatementRecorder
     planned_stop: PlannedStop
     service_times: ServiceTimes = attrs.field(factory=ServiceTimes)
 
@@ -241,6 +243,7 @@
         self.limits.record_response(
             candidate, metadata.limit, call.metadata.request_id
         )
+        self.statements.record(candidate, metadata)
         if metadata.not_run:
             result.reason = 'other_server' if metadata.other_server else 'shed'
             candidate.load.record_outcome(now, failed=True)
--- a/wagtailfork/gateway/view.py
+++ b/wagtailfork/gateway/view.py
@@ -17,6 +17,7 @@
 
 EXPIRED: Final = 'lapse'  # source name of changes made by a timeout
 STORE: Final = 'store'
+RESPONSE: Final = 'response'  # of a server
 RECOVERY_WINDOW_S: Final = 3.0  # after an outage of the source ends
 REREGISTER_S: Final = 2.0  # time for a running server to register again
 # After a restore: the store drops a server after three missed statements, in
@@ -167,6 +168,20 @@
         self._changes.add(Change(name, raw, position))
         self._notify_change(source)
 
+    def record_leaving(self, name: str) -> None:
+        """Stop using a server that said that it leaves, whatever is listed.
+
+        Only an entry of a newer process ends that.
+        """
+        server = self.servers.get(name)
+        if server is None or server.draining:
+            return
+        leaving = attrs.evolve(server, draining=True)
+        self.servers[name] = leaving
+        self._departures.record(leaving)
+        log_event(_logger, 'server_leaving', server=name)
+        self._notify_change(RESPONSE)
+
     def start_recovery_window(self, now: float) -> None:
         """Record a source outage; removed servers are kept briefly after it."""
         self._recovering_until_s = now + RECOVERY_WINDOW_S
--- a/wagtailfork/platform/headers.py
+++ b/wagtailfork/platform/headers.py
@@ -28,9 +28,12 @@
 _LOAD: Final = b'server-load'
 _LIMIT: Final = b'server-limit'
 _INSTANCE: Final = b'instance-id'
+_LEAVING: Final = b'server-leaving'
 
 _FROM_CALLER: Final = frozenset((_DEADLINE, _TARGET))
-_FROM_SERVER: Final = frozenset((_LOAD, _LIMIT, _INSTANCE, _NOT_EXECUTED))
+_FROM_SERVER: Final = frozenset(
+    (_LOAD, _LIMIT, _INSTANCE, _NOT_EXECUTED, _LEAVING)
+)
 
 
 def parse_load_report(text: bytes) -> LoadReport | None:
@@ -75,6 +78,17 @@
     return limit if math.isfinite(limit) and limit >= 0 else None
 
 
+def parse_leaving(text: bytes | None) -> bool | None:
+    """Parse whether a server leaves; None if it is neither said nor not.
+
+    >>> parse_leaving(b'1'), parse_leaving(None), parse_leaving(b'1, 1')
+    (True, False, None)
+    """
+    if text is None:
+        return False
+    return True if text.strip() == b'1' else None
+
+
 def _text(raw: bytes | None) -> str | None:
     return None if raw is None else raw.decode('latin-1')
 
@@ -107,6 +121,7 @@
             server=_text(response.find(_INSTANCE)),
             load=None if load is None else parse_load_report(load),
             limit=parse_limit(response.find(_LIMIT)),
+            leaving=parse_leaving(response.find(_LEAVING)),
         )
 
     def render_request(
