Send nothing to a server for as long as its refusal asks

The VM that heard it excludes the server from its own choices and from the placements that it asks for, and gives a placement back that names it all the same. If all servers of a service want a wait, callers are refused at once with the shortest time left. The wait is bounded to 60 s; garbage is logged and ignored.

--- a/wagtailfork/gateway/dialect.py
+++ b/wagtailfork/gateway/dialect.py
@@ -33,6 +33,8 @@
     # Requests a second that the server accepts; None if unreadable.
     limit: float | None = NO_LIMIT
     leaving: bool | None = False  # None if unreadable
+    # For how long the server wants nothing from this VM; None if unreadable.
+    wait_s: float | None = 0
 
 
 class Dialect(Protocol):
--- a/wagtailfork/gateway/placement_client.py
+++ b/wagtailfork/gateway/placement_client.py
@@ -87,7 +87,24 @@
     async def place(
         self, queue: ServiceQueue, queued: QueuedRequest
     ) -> Placement:
-        """Wait for a slot of a server; raise ``Refused`` if there is none."""
+        """Wait for a slot of a server; raise ``Refused`` if there is none.
+
+        A server that wants a wait from this VM is left to the others.
+        """
+        while True:
+            now = now_s()
+            wait_s = queue.table.wait_left_s(now)
+            if wait_s:
+                raise Refused('no_room', wait_s)
+            queued.excluded.update(queue.table.waiting_names(now))
+            placement = await self._place_once(queue, queued)
+            if not placement.candidate.wants_wait(now_s()):
+                return placement
+            self.end(placement, queue, Outcome.unknown)
+
+    async def _place_once(
+        self, queue: ServiceQueue, queued: QueuedRequest
+    ) -> Placement:
         coordinator = self.coordinator_of(queue.service)
         if self._is_remote(coordinator):
             placement = await self._place_remotely(coordinator, queue, queued)
--- a/wagtailfork/gateway/statement_recorder.py
+++ b/wagtailfork/gateway/statement_recorder.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from ..core.clock import now_s
 from ..core.event_log import EventLog
 from ..routing.candidate import Candidate
 from .dialect import ResponseMetadata
@@ -11,7 +12,7 @@
 
 @attrs.define(eq=False)
 class StatementRecorder:
-    """Record that a server leaves; log what is unreadable."""
+    """Record that a server leaves, or wants a wait; log what is unreadable."""
 
     log: EventLog
     on_leaving: Callable[[Candidate], None]
@@ -21,6 +22,18 @@
         if metadata.other_server:
             return
         self.record_leaving(candidate, metadata)
+        if metadata.wait_s is None:
+            self._log_unreadable(candidate, metadata, 'wait')
+        elif metadata.wait_s:
+            until_s = now_s() + metadata.wait_s
+            candidate.wait_until_s = max(candidate.wait_until_s, until_s)
+            self.log.emit(
+                'wait_named',
+                important=True,
+                id=metadata.request_id or 'none',
+                server=candidate.name,
+                wait_s=metadata.wait_s,
+            )
 
     def record_leaving(
         self, candidate: Candidate, metadata: ResponseMetadata
--- a/wagtailfork/platform/headers.py
+++ b/wagtailfork/platform/headers.py
@@ -29,6 +29,9 @@
 _LIMIT: Final = b'server-limit'
 _INSTANCE: Final = b'instance-id'
 _LEAVING: Final = b'server-leaving'
+_RETRY_AFTER: Final = b'retry-after'
+_UNAVAILABLE: Final = 503
+_MAX_WAIT_S: Final = 60.0  # for a longer one, the server is asked again
 
 _FROM_CALLER: Final = frozenset((_DEADLINE, _TARGET))
 _FROM_SERVER: Final = frozenset(
@@ -89,6 +92,25 @@
     return True if text.strip() == b'1' else None
 
 
+def parse_wait_s(status: int, text: bytes | None) -> float | None:
+    """Parse the wait that a refusal names; None if it is no valid number.
+
+    >>> parse_wait_s(503, b'1.5'), parse_wait_s(200, b'1.5')
+    (1.5, 0)
+    >>> parse_wait_s(503, b'-1'), parse_wait_s(503, b'1e9')
+    (None, 60.0)
+    """
+    if status != _UNAVAILABLE or text is None:
+        return 0
+    try:
+        wait_s = float(text)
+    except ValueError:
+        return None
+    if not math.isfinite(wait_s) or wait_s < 0:
+        return None
+    return min(wait_s, _MAX_WAIT_S)
+
+
 def _text(raw: bytes | None) -> str | None:
     return None if raw is None else raw.decode('latin-1')
 
@@ -122,6 +144,7 @@
             load=None if load is None else parse_load_report(load),
             limit=parse_limit(response.find(_LIMIT)),
             leaving=parse_leaving(response.find(_LEAVING)),
+            wait_s=parse_wait_s(response.status, response.find(_RETRY_AFTER)),
         )
 
     def render_request(
--- a/wagtailfork/routing/candidate.py
+++ b/wagtailfork/routing/candidate.py
@@ -31,6 +31,7 @@
     failure_domain: str = ''
     service: str = ''
     limit: ServerLimit = attrs.field(factory=ServerLimit)
+    wait_until_s: float = 0  # until then, it wants no request from this VM
     has_responded: bool = False  # to a request of this VM or of a neighbour
 
     def is_free(self, now: float) -> bool:
@@ -40,6 +41,10 @@
         slot_free = self.load.estimated_requests(now) < self.load.slots
         return slot_free and self.limit.allows(now)
 
+    def wants_wait(self, now: float) -> bool:
+        """Return whether the server wants no request from this VM yet."""
+        return now < self.wait_until_s
+
     def begin(self, now: float) -> None:
         """Count a request that is about to be sent."""
         self.load.begin()
--- a/wagtailfork/routing/server_table.py
+++ b/wagtailfork/routing/server_table.py
@@ -69,6 +69,25 @@
             for candidate in self.servers.values()
         )
 
+    def waiting_names(self, now: float) -> list[str]:
+        """Return the names of the servers that want a wait from this VM."""
+        return [
+            name
+            for name, candidate in self.servers.items()
+            if candidate.wants_wait(now)
+        ]
+
+    def wait_left_s(self, now: float) -> float:
+        """Return the seconds until a server wants requests, 0 if one does."""
+        return min(
+            (
+                max(0, candidate.wait_until_s - now)
+                for candidate in self.servers.values()
+                if not candidate.draining
+            ),
+            default=0,
+        )
+
     def connected(self, now: float, limit: int) -> tuple[str, ...]:
         """Name servers with an idle connection, the longest usable first."""
         names = [
