Take the era before an append for that of the append

An append that a restore undid while its acknowledgement was under way was taken for one of the new era, and not repeated; likewise a registration. Found on reading the change. test_retained_appends.py::test_restore_during_an_append failed before; the registration has no test of its own.

--- a/wagtailfork/gateway/discovery.py
+++ b/wagtailfork/gateway/discovery.py
@@ -77,7 +77,7 @@
         if not self._registered:
             await self.source.register_vm(self.membership.me)
             self._registered = True
-            self._checked_era = self.era()
+            self._checked_era = self.source.usage.era
             await self._contact_first()
             await asyncio.sleep(RETRY_DELAY_S)
         now = now_s()
--- a/wagtailfork/gateway/retained_appends.py
+++ b/wagtailfork/gateway/retained_appends.py
@@ -42,8 +42,9 @@
 
     async def append(self, summary: Any) -> None:
         """Append one summary and retain it."""
+        era = self.era()  # a restore during the append may undo it
         await self.append_once(summary)
-        self._retained.append(_Append(summary, self.era(), now_s()))
+        self._retained.append(_Append(summary, era, now_s()))
 
     async def run(self) -> None:
         """Append again what a restored store may have lost, without end."""
