Let a nested record of the log cost only itself

The product's own interface: a record nested beyond what the decoder reads made the follower of the log fail again and again, so no ticket after it came in force. Such a record is read alone and folded as a malformed one. Failed before: control/tests/test_log_client.py (RecursionError).

--- a/wagtailfork/control/log_client.py
+++ b/wagtailfork/control/log_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import logging
 from typing import Any, Final
 
 import aiosonic
@@ -11,6 +12,7 @@
 from aiosonic.timeout import Timeouts
 
 from ..core.errors import WagtailforkError
+from ..core.logs import log_warning
 from ..core.results import HTTP_OK, ResultCode
 from ..core.structure import parse_plain
 from .fold import LogRecord
@@ -20,6 +22,8 @@
 _CLOSE_TIMEOUT_S: Final = 0.1
 MAX_READ_RECORDS: Final = 500  # records in one response
 
+_logger = logging.getLogger(__name__)
+
 
 @attrs.frozen(kw_only=True)
 class Page:
@@ -70,13 +74,30 @@
         ).offset
 
     async def read(self, stream: str, start: int, wait_s: float = 0) -> Page:
-        """Read records from offset ``start``; wait up to ``wait_s`` for one."""
+        """Read records from offset ``start``; wait up to ``wait_s`` for one.
+
+        A record that is nested too deeply to be read is null in the page.
+        """
+        skipped: list[LogRecord] = []
+        limit = MAX_READ_RECORDS
+        while True:
+            offset = start + len(skipped)
+            path = f'/streams/{stream}/records?from={offset}&limit={limit}'
+            try:
+                page = await self._read_page(path, wait_s)
+            except RecursionError:
+                if limit == 1:
+                    log_warning(_logger, 'record_unreadable', offset=offset)
+                    skipped.append(
+                        LogRecord(offset=offset, time_ms=0, record=None)
+                    )
+                limit = 1
+                continue
+            return attrs.evolve(page, records=[*skipped, *page.records])
+
+    async def _read_page(self, path: str, wait_s: float) -> Page:
         wait_ms = round(wait_s * 1000)
-        path = (
-            f'/streams/{stream}/records'
-            f'?from={start}&limit={MAX_READ_RECORDS}&wait_ms={wait_ms}'
-        )
-        raw = await self._call('GET', path, None, wait_s)
+        raw = await self._call('GET', f'{path}&wait_ms={wait_ms}', None, wait_s)
         return parse_plain(raw, Page, ResultCode.log_unavailable)
 
     async def close(self) -> None:
