Let an odd entry of the platform's VM list cost only itself

The product's own interface: one odd entry made the whole list unreadable, and a nested one ended its poller again and again. Entries are checked one by one.

--- a/wagtailfork/core/settings.py
+++ b/wagtailfork/core/settings.py
@@ -146,7 +146,7 @@
     """
     try:
         raw = json.loads(text)
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise WagtailforkError(
             ResultCode.settings_unreadable,
             str(exc),
--- a/wagtailfork/node/vm_list.py
+++ b/wagtailfork/node/vm_list.py
@@ -5,12 +5,13 @@
 import logging
 import time
 from collections.abc import Callable
-from typing import Final
+from typing import Any, Final
 
 import aiosonic
 import attrs
 from aiosonic.exceptions import AiosonicError
 
+from ..core.address import is_address
 from ..core.errors import WagtailforkError
 from ..core.logs import log_warning
 from ..core.results import ResultCode
@@ -53,6 +54,7 @@
 _FAILURES: Final = (
     AiosonicError,
     OSError,
+    RecursionError,
     TimeoutError,
     ValueError,
     WagtailforkError,
@@ -93,4 +95,33 @@
         async with asyncio.timeout(_TIMEOUT_S), aiosonic.HTTPClient() as http:
             response = await http.get(f'{self._url.rstrip("/")}/vms')
             raw = json.loads(await response.content())
-        return parse_plain(raw, VmListing, ResultCode.service_unreachable)
+        return parse_listing(raw)
+
+
+def parse_listing(raw: Any) -> VmListing:
+    """Build a listing; leave out entries that are malformed.
+
+    >>> parse_listing({'vms': [5]}).vms
+    []
+    """
+    if not isinstance(raw, dict) or not isinstance(raw.get('vms'), list):
+        raise WagtailforkError(
+            ResultCode.service_unreachable, 'the VM list has no vms'
+        )
+    vms = []
+    for entry in raw['vms']:
+        try:
+            vms.append(_parse_vm(entry))
+        except WagtailforkError as exc:
+            log_warning(_logger, 'vm_unreadable', error=exc.detail)
+    return VmListing(vms=vms)
+
+
+def _parse_vm(entry: Any) -> ListedVm:
+    listed = parse_plain(entry, ListedVm, ResultCode.service_unreachable)
+    for address in (listed.address, listed.peer_address):
+        if address and not is_address(address):
+            raise WagtailforkError(
+                ResultCode.service_unreachable, f'address {address!r}'
+            )
+    return listed
