--- a/review/standins.py
+++ b/review/standins.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import functools
 import json
 import os
 import pathlib
@@ -22,6 +23,13 @@
 HEARTBEAT_S = 1.5  # platform.heartbeatMs
 DRAIN_S = 2.5  # terms.bounds.drainMs
 GRACE_S = 6.0  # terms.bounds.graceS
+CONFIG_APPLY_S = 2.5  # terms.bounds.configApplyMs
+REGIONS = {  # network.zones
+    'z-a': 'south',
+    'z-b': 'south',
+    'z-c': 'north',
+    'z-d': 'north',
+}
 
 
 def free_port() -> int:
@@ -90,15 +98,21 @@
     """The platform's log: keyed topics, appends, reads with a wait."""
 
     def __init__(self, record: Record) -> None:
-        self.address = f'127.0.0.1:{free_port()}'
         self._record = record
         self._topics: dict = {}
         self._newest: dict = {}
         self._changed = asyncio.Event()
-
-    async def start(self) -> None:
-        host, port = self.address.split(':')
-        await asyncio.start_server(self._serve, host, int(port))
+        # Callers that get no response, and when each last asked for what.
+        self.turned_away: set = set()
+        self.asked: dict = {}
+
+    async def listen(self, caller: str) -> str:
+        """Return an address for one caller, to tell it from the others."""
+        port = free_port()
+        await asyncio.start_server(
+            functools.partial(self._serve, caller), '127.0.0.1', port
+        )
+        return f'127.0.0.1:{port}'
 
     def put(self, topic: str, key: str, fields: dict | None) -> None:
         """Append a record to a keyed topic, as operator and endpoints do."""
@@ -120,12 +134,17 @@
         self._changed = asyncio.Event()
         return offset
 
-    async def _serve(self, reader, writer) -> None:
+    async def _serve(self, caller: str, reader, writer) -> None:
         try:
             while True:
                 head = await read_head(reader)
                 body = await read_body(reader, head)
+                await self._wait_served(caller)
+                self.asked[caller, head.first.split('&')[0]] = (
+                    time.monotonic()
+                )
                 status, kind, payload = await self._answer(head, body)
+                await self._wait_served(caller)
                 writer.write(
                     f'HTTP/1.1 {status}\r\nContent-Type: {kind}\r\n'
                     f'Store-Era: 1\r\nContent-Length: {len(payload)}\r\n\r\n'
@@ -135,6 +154,11 @@
         except (OSError, asyncio.IncompleteReadError):
             writer.close()
 
+    async def _wait_served(self, caller: str) -> None:
+        """Give no response to a caller that is turned away."""
+        while caller in self.turned_away:
+            await asyncio.sleep(0.05)
+
     async def _answer(self, head: Message, body: bytes):
         method, target, _ = head.first.split(' ')
         path, _, query = target.partition('?')
@@ -222,12 +246,31 @@
         self.arrivals: list = []
         self.runs: list = []
         self._slot = asyncio.Semaphore(slots)
+        self._writers: set = set()
 
     async def start(self) -> None:
         host, port = self.address.split(':')
-        await asyncio.start_server(self._serve, host, int(port))
+        self._server = await asyncio.start_server(
+            self._serve, host, int(port)
+        )
         self._task = asyncio.create_task(self._heartbeats())
 
+    def crash(self) -> None:
+        """End as a killed process does: all its connections are reset."""
+        self.record.line(f'{self.name} crashes, {self.running} running')
+        self._task.cancel()
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        # The store removes the entry after three heartbeats of silence.
+        asyncio.get_running_loop().call_later(
+            3 * HEARTBEAT_S,
+            self.store.put,
+            'keyed.servers',
+            self.name,
+            None,
+        )
+
     def fields(self) -> dict:
         """Return the entry that this endpoint writes of itself."""
         return {
@@ -256,6 +299,7 @@
 
     async def _serve(self, reader, writer) -> None:
         begun = b''
+        self._writers.add(writer)
         try:
             while True:
                 head = await read_head(reader, begun)
@@ -264,6 +308,7 @@
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _handle(self, head: Message, reader, writer) -> bytes:
@@ -345,16 +390,17 @@
     """A process of the gateway, with the command of the deploy file."""
 
     def __init__(
-        self, store: Store, folder: pathlib.Path, name: str, zone: str = 'z-a'
+        self, store_address: str, folder: pathlib.Path, name: str, zone: str
     ) -> None:
         self.name = name
+        self.zone = zone
         self.address = f'127.0.0.1:{free_port()}'
         self.ready_address = f'127.0.0.1:{free_port()}'
         settings = {
             'vm': name,
-            'region': 'r-1',
+            'region': REGIONS[zone],
             'failure_domain': zone,
-            'regions': {'z-a': 'r-1', 'z-b': 'r-1'},
+            'regions': REGIONS,
             'caller_address': self.address,
             'ready_address': self.ready_address,
             'directory_address': f'127.0.0.1:{free_port()}',
@@ -362,7 +408,7 @@
             'metrics_address': f'127.0.0.1:{free_port()}',
             'stop_grace_s': GRACE_S,
             'first_start': True,
-            'store_address': store.address,
+            'store_address': store_address,
             'retries': {'ratio': 0.2, 'slack': 56, 'window_s': 10},
         }
         self._path = folder / f'{name}.json'
@@ -417,18 +463,23 @@
         self.endpoints: dict = {}
         self.gateways: list = []
 
-    async def start(self, config: dict, gateways: int) -> None:
-        """Start everything and wait until all gateways are ready."""
-        await self.store.start()
+    async def start(
+        self, config: dict, gateways: int, zones: tuple = ('z-a',)
+    ) -> None:
+        """Start everything and wait until all gateways are ready.
+
+        There are so many gateways in each zone.
+        """
         self.store.put('keyed.op', 'config', config)
         for endpoint in self.endpoints.values():
             await endpoint.start()
-        for number in range(gateways):
-            gateway = Gateway(
-                self.store, self.folder, f'front-{number + 1}'
-            )
-            self.gateways.append(gateway)
-            gateway.start()
+        for zone in zones:
+            for number in range(gateways):
+                name = f'front-{zone}-{number + 1}'
+                address = await self.store.listen(name)
+                gateway = Gateway(address, self.folder, name, zone)
+                self.gateways.append(gateway)
+                gateway.start()
         until = time.monotonic() + 20
         while time.monotonic() < until:
             ready = [await one.is_ready() for one in self.gateways]
