--- a/review/standins.py
+++ b/review/standins.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -32,11 +33,26 @@
 }
 
 
+_taken: set = set()
+
+
 def free_port() -> int:
-    """Return an unused loopback port."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return sock.getsockname()[1]
+    """Return an unused loopback port that no outgoing connection gets."""
+    for _ in range(1000):
+        port = random.randrange(12000, 32000)
+        if port in _taken:
+            continue
+        with socket.socket() as sock, socket.socket(
+            socket.AF_INET, socket.SOCK_DGRAM
+        ) as datagrams:
+            try:
+                sock.bind(('127.0.0.1', port))
+                datagrams.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        _taken.add(port)
+        return port
+    raise RuntimeError('no free port')
 
 
 class Record:
@@ -226,6 +242,7 @@
         queue: int = 8,
         work_s: float = 0.02,
         answer_bytes=200,  # or a function of the target
+        extra: bytes = b'',  # sent after each complete answer
     ) -> None:
         self.store = store
         self.record = record
@@ -236,8 +253,10 @@
         self.queue = queue
         self.work_s = work_s
         self.answer_bytes = answer_bytes
+        self.extra = extra
         self.state = 'ready'
         self.sequence = 0
+        self.offset_s = HEARTBEAT_S
         self.born = round(time.time() * 1000)
         self.address = f'127.0.0.1:{free_port()}'
         self.running = 0
@@ -290,6 +309,9 @@
         self.store.put('keyed.servers', self.name, self.fields())
 
     async def _heartbeats(self) -> None:
+        self.write_entry()
+        # Servers that start together do not go on in step.
+        await asyncio.sleep(self.offset_s)
         while True:
             self.write_entry()
             await asyncio.sleep(HEARTBEAT_S)
@@ -357,7 +379,7 @@
         writer.write(
             f'HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n'
             f'Server-Signature: {self.name}.1\r\n{self._load()}'
-            f'Content-Length: {len(body)}\r\n\r\n'.encode() + body
+            f'Content-Length: {len(body)}\r\n\r\n'.encode() + body + self.extra
         )
         if not watch.done():
             watch.cancel()
@@ -429,6 +451,10 @@
             command, cwd=ROOT, env=env, stdout=self._log, stderr=self._log
         )
 
+    def last_lines(self) -> list:
+        """Return the end of what the process has written."""
+        return pathlib.Path(self._log.name).read_text().splitlines()[-3:]
+
     def signal(self, signum: int) -> None:
         self.process.send_signal(signum)
 
@@ -471,7 +497,8 @@
         There are so many gateways in each zone.
         """
         self.store.put('keyed.op', 'config', config)
-        for endpoint in self.endpoints.values():
+        for number, endpoint in enumerate(self.endpoints.values(), 1):
+            endpoint.offset_s = HEARTBEAT_S * number / len(self.endpoints)
             await endpoint.start()
         for zone in zones:
             for number in range(gateways):
@@ -488,6 +515,8 @@
                 await asyncio.sleep(4)  # stableWindowMs
                 return
             await asyncio.sleep(0.1)
+        for gateway in self.gateways:
+            self.record.line(f'{gateway.name}: {gateway.last_lines()}')
         raise RuntimeError('the gateways did not become ready')
 
     def add(self, name: str, service: str, **options) -> Endpoint:
