--- a/review/standins.py
+++ b/review/standins.py
@@ -443,7 +443,7 @@
         command = re.search(r'^run = "(.*)"$', text, re.M)[1].split(' ')
         env = {
             'PATH': os.environ.get('PATH', ''),
-            'HOME': os.environ.get('HOME', '/tmp'),
+            'HOME': os.environ.get('HOME', ''),
             'PYTHONPATH': str(ROOT / 'target' / 'deps'),
             'WAGTAILFORK_BOOT': str(self._path),
         }
