Detect a store that does not answer its readers within half a poll

Cause: a reader learned only from the time limit of its own poll, 2.8 s after it began, that the store is silent; then came 0.6 s that are meant for a fleet that starts. Polls older than a second time out early enough, so it showed half of the time.

Evidence: a trace over loopback with polls that just began: both readers lose the store at 2.78 s, the next VMs read at 3.47 and 3.51 s, and all six VMs have the version within 0.06 s of that. Ruled out by it: that the VMs are not told, or that a new reader is slow.

Now the polls of the two topics alternate, so an answer is due every second for the same number of calls, and both fail after 1.6 s without any. A reader tells its neighbours at once when it loses the store, and the next VM takes over 0.2 s after that. The same trace: 1.58, 1.87, 1.88 s. store_wait_s above 2 s, which would break the bound, is refused.

--- a/wagtailfork/core/settings.py
+++ b/wagtailfork/core/settings.py
@@ -111,10 +111,12 @@
     # Time from the signal to stop until the platform kills the process.
     stop_grace_s: float = attrs.field(default=6.0, validator=_POSITIVE)
     directory_ttl_s: float = attrs.field(default=2.0, validator=_POSITIVE)
-    # Long-poll timeout. A poll that a silent connection swallows, its timeout
-    # and the next read must end within 4 s: users then hold the VM to the age
-    # of its configuration again.
-    store_wait_s: float = attrs.field(default=2.0, validator=_POSITIVE)
+    # Longest wait of a poll. The polls of two topics alternate, so a store that
+    # does not answer is known after half of it and 0.6 s; with 0.9 s for
+    # another VM to take over, that is the users' limit for a change, 2.5 s.
+    store_wait_s: float = attrs.field(
+        default=2.0, validator=[_POSITIVE, attrs.validators.le(2)]
+    )
     store_settle_s: float = attrs.field(default=0.1, validator=_POSITIVE)
     # Cost of a megabyte sent to another failure domain and to another region,
     # in answered calls.
--- a/wagtailfork/gateway/adapter.py
+++ b/wagtailfork/gateway/adapter.py
@@ -69,7 +69,7 @@
 
 
 AddressesOf = Callable[[str, str], list[str]]
-MakeSource = Callable[[View, Callable[[], bool]], Source]
+MakeSource = Callable[[View, Callable[[], bool], Callable[[], None]], Source]
 MakeDirectory = Callable[[Callable[[], bool], AddressesOf], Directory]
 
 
--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -129,7 +129,7 @@
             reads_from_s=start_of_reading_s(first_start=cfg.first_start),
         )
         self.source = adapter.make_source(
-            self.view, self.reader_election.should_read
+            self.view, self.reader_election.should_read, self._announce_reading
         )
         self.discovery = Discovery(
             source=self.source,
@@ -314,6 +314,11 @@
     def _reads_store(self) -> bool:
         return self.source.reads_store
 
+    def _announce_reading(self) -> None:
+        """Tell the neighbours at once whether this VM reads the store."""
+        if self.source.reads_store != self.membership.me.reads_store:
+            self.link.heartbeats.announce()
+
     def _store_era(self) -> int:
         """Return the latest era that this VM or another one heard of."""
         return max(self.source.usage.era, self.view.position.era)
--- /dev/null
+++ b/wagtailfork/gateway/poll_watch.py
@@ -0,0 +1,77 @@
+"""Detection of a store that does not answer long polls."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Final
+
+import attrs
+
+from ..core.clock import now_s
+
+# The store responds in 4 ms, or in 400 ms when it is slowed by a factor of 100.
+RESPONSE_LIMIT_S: Final = 0.5
+
+
+@attrs.define(eq=False)
+class PollWatch:
+    """Alternate the long polls of several topics and limit their silence.
+
+    A store without news answers a poll at the end of its wait. The polls of two
+    topics end half a wait apart, so an answer is due every half wait, and a
+    store that does not answer is known without more calls. An answer to one
+    poll extends the limit of the others.
+    """
+
+    wait_s: float  # longest wait of a poll
+    settle_s: float  # pause between an answer with records and the next poll
+    _ends_at_s: dict[str, float] = attrs.field(factory=dict)
+    _limits: dict[str, asyncio.Timeout] = attrs.field(factory=dict)
+
+    @property
+    def silence_limit_s(self) -> float:
+        """Return the time without any answer after which polls fail."""
+        return self.wait_s / 2 + self.settle_s + RESPONSE_LIMIT_S
+
+    def next_wait_s(self, topic: str) -> float:
+        """Return the wait of the next poll of a topic."""
+        now = now_s()
+        others_s = [
+            ends_at_s - now
+            for other, ends_at_s in self._ends_at_s.items()
+            if other != topic
+        ]
+        return alternating_wait_s(self.wait_s, max(others_s, default=0))
+
+    @contextlib.asynccontextmanager
+    async def limit(self, topic: str, wait_s: float) -> AsyncIterator[None]:
+        """Limit a poll; raise ``TimeoutError`` if no poll is answered."""
+        async with asyncio.timeout(self.silence_limit_s) as timeout:
+            self._ends_at_s[topic] = now_s() + wait_s
+            self._limits[topic] = timeout
+            try:
+                yield
+            finally:
+                self._ends_at_s.pop(topic)
+                self._limits.pop(topic)
+        self._extend_limits()
+
+    def _extend_limits(self) -> None:
+        due_s = asyncio.get_running_loop().time() + self.silence_limit_s
+        for timeout in self._limits.values():
+            if not timeout.expired():
+                timeout.reschedule(due_s)
+
+
+def alternating_wait_s(wait_s: float, other_s: float) -> float:
+    """Return the wait of a poll, given the time until another one ends.
+
+    The poll ends half a wait after the other one, or before it.
+
+    >>> alternating_wait_s(2.0, 0.75), alternating_wait_s(2.0, 1.25)
+    (1.75, 1.0)
+    >>> alternating_wait_s(2.0, -0.5)
+    1.0
+    """
+    half_s = wait_s / 2
+    return half_s + other_s if 0 < other_s <= half_s else half_s
--- a/wagtailfork/gateway/reader_election.py
+++ b/wagtailfork/gateway/reader_election.py
@@ -17,6 +17,8 @@
 # know each other by then, so that one of each domain reads.
 FIRST_START_DELAY_S: Final = 2.0
 TAKEOVER_DELAY_S: Final = 0.6  # for the first reader's heartbeat to arrive
+# After a reader was lost, which may reach the store again on a new connection.
+LOST_READER_DELAY_S: Final = 0.2
 TAKEOVER_STEP_S: Final = 0.15  # for a response of the store and a heartbeat
 _KEY: Final = 'store-reader'
 
@@ -37,6 +39,7 @@
         factory=lambda: start_of_reading_s(first_start=False)
     )
     _unread_since_s: float | None = None
+    _had_reader: bool = False
 
     def should_read(self) -> bool:
         """Return whether this VM follows the store now.
@@ -50,6 +53,7 @@
         readers = [one.address for one in self.membership.store_readers(now)]
         if readers:
             self._unread_since_s = None
+            self._had_reader = True
             return self._is_first(readers) and self.reads_store()
         others = [one.address for one in self.membership.neighbours()]
         me = self.membership.me.address
@@ -70,5 +74,6 @@
         if self._unread_since_s is None:
             self._unread_since_s = now
         steps = rank.bit_length() - 1
-        delay_s = TAKEOVER_DELAY_S + steps * TAKEOVER_STEP_S
+        delay_s = LOST_READER_DELAY_S if self._had_reader else TAKEOVER_DELAY_S
+        delay_s += steps * TAKEOVER_STEP_S
         return now - self._unread_since_s > delay_s
--- a/wagtailfork/gateway/tests/test_reader_election.py
+++ b/wagtailfork/gateway/tests/test_reader_election.py
@@ -8,12 +8,15 @@
 from ...fleet.members import Membership
 from .. import reader_election
 from ..reader_election import (
+    LOST_READER_DELAY_S,
     TAKEOVER_DELAY_S,
     TAKEOVER_STEP_S,
     ReaderElection,
 )
 
 VMS = 28
+VMS_PER_DOMAIN = 5  # of the users' smallest limit, 2.5 s
+TAKEOVER_LIMIT_S = 0.6  # once the reader is lost; 0.3 s are left to spread
 REMOVAL_LIMIT_S = 3.0  # the users' limit for removing servers that leave
 
 
@@ -21,9 +24,9 @@
     return False
 
 
-def make_readers() -> list[ReaderElection]:
+def make_readers(vms: int = VMS) -> list[ReaderElection]:
     """Return the readers of a domain whose VMs all know each other."""
-    members = [make_member('a', number) for number in range(VMS)]
+    members = [make_member('a', number) for number in range(vms)]
     readers = []
     for me in members:
         membership = Membership(me)
@@ -70,3 +73,28 @@
         readers = make_readers()
         count_readers_at(readers, 0)
         self.assertEqual(VMS, count_readers_at(readers, REMOVAL_LIMIT_S / 2))
+
+    def test_lost_reader_is_replaced_sooner(self) -> None:
+        """A reader that says that it lost the store is replaced in time."""
+        readers = make_readers(VMS_PER_DOMAIN)
+        first = next(
+            one for one in readers if count_readers_at([one], 0.1) == 1
+        )
+        others = [one for one in readers if one is not first]
+        _tell(others, first.membership, reads_store=True)
+        self.assertEqual(0, count_readers_at(others, 0.2))
+        _tell(others, first.membership, reads_store=False)
+        self.assertEqual(0, count_readers_at(others, 0.3))
+        due_s = 0.31 + LOST_READER_DELAY_S
+        self.assertEqual(1, count_readers_at(others, due_s))
+        self.assertEqual(
+            len(others), count_readers_at(others, 0.3 + TAKEOVER_LIMIT_S)
+        )
+
+
+def _tell(
+    readers: list[ReaderElection], sender: Membership, *, reads_store: bool
+) -> None:
+    sender.advance(reads_store=reads_store)
+    for reader in readers:
+        reader.membership.merge([sender.me], 0.2)
--- a/wagtailfork/platform/adapter.py
+++ b/wagtailfork/platform/adapter.py
@@ -5,6 +5,7 @@
 from ..core.settings import GatewaySettings
 from ..gateway.adapter import Adapter
 from ..gateway.node import GatewayNode
+from ..gateway.poll_watch import PollWatch
 from ..gateway.view import View
 from .documents import decode_configuration, decode_server
 from .handlers import PlatformHandlers
@@ -19,15 +20,11 @@
     def make_source(
         view: View,
         should_read: Callable[[], bool],
+        on_status: Callable[[], None],
     ) -> PlatformSource:
         store = StoreClient(cfg.store_address)
-        return PlatformSource(
-            store,
-            view,
-            should_read,
-            cfg.store_wait_s,
-            cfg.store_settle_s,
-        )
+        watch = PollWatch(cfg.store_wait_s, cfg.store_settle_s)
+        return PlatformSource(store, view, should_read, on_status, watch)
 
     def make_directory(
         is_ready: Callable[[], bool],
--- a/wagtailfork/platform/source.py
+++ b/wagtailfork/platform/source.py
@@ -15,6 +15,7 @@
 from ..fleet.member import Member
 from ..fleet.position import NO_POSITION, Position
 from ..fleet.wire_values import as_address, as_text
+from ..gateway.poll_watch import PollWatch
 from ..gateway.view import STORE, View
 from .store import KeyedRecord, PositionLost, StoreClient
 from .traffic import TRAFFIC_TOPIC, render_summary
@@ -69,8 +70,8 @@
     store: StoreClient
     view: View
     should_read: Callable[[], bool]
-    wait_s: float
-    settle_s: float
+    on_status: Callable[[], None]  # called when a topic is reached or lost
+    watch: PollWatch
     _config_status: _TopicStatus = attrs.field(
         factory=lambda: _TopicStatus(_CONFIG_TOPIC)
     )
@@ -147,14 +148,30 @@
                 await read_once()
             except WagtailforkError as exc:
                 status.record_failure(str(exc))
+                self.on_status()
                 self.view.start_recovery_window(now_s())
                 await asyncio.sleep(status.backoff_s())
             else:
                 status.record_success()
-
-    def _read_wait_s(self, status: _TopicStatus) -> float:
-        # The first read does not wait, so that its success is known at once.
-        return self.wait_s if status.ok else 0
+                self.on_status()
+
+    async def _read_records(
+        self, status: _TopicStatus, start: Position
+    ) -> tuple[list[KeyedRecord], Position]:
+        if not status.ok:
+            # The first read does not wait, so its success is known at once.
+            return await self.store.read_keyed(status.name, start, 0)
+        wait_s = self.watch.next_wait_s(status.name)
+        try:
+            async with self.watch.limit(status.name, wait_s):
+                return await self.store.read_keyed(status.name, start, wait_s)
+        except TimeoutError as exc:
+            self.store.drop_idle()
+            limit_s = self.watch.silence_limit_s
+            raise WagtailforkError(
+                ResultCode.log_unavailable,
+                f'{status.name}: no answer to any poll in {limit_s} s',
+            ) from exc
 
     async def _read_configuration(self) -> None:
         if self._config_position is None:
@@ -164,15 +181,13 @@
             self._config_position = listing.end
             return
         try:
-            records, end = await self.store.read_keyed(
-                _CONFIG_TOPIC,
-                self._config_position,
-                self._read_wait_s(self._config_status),
+            records, end = await self._read_records(
+                self._config_status, self._config_position
             )
         except PositionLost as exc:
             log_event(_logger, 'position_lost', error=exc)
             self._config_position = None
-            await asyncio.sleep(self.settle_s)
+            await asyncio.sleep(self.watch.settle_s)
             return
         for record in records:
             if record.key == _CONFIG_KEY:
@@ -188,20 +203,18 @@
             await self._reload_servers()
             return
         try:
-            records, end = await self.store.read_keyed(
-                _SERVERS_TOPIC,
-                self.view.position,
-                self._read_wait_s(self._servers_status),
+            records, end = await self._read_records(
+                self._servers_status, self.view.position
             )
         except PositionLost as exc:
             log_event(_logger, 'position_lost', error=exc)
             await self._reload_servers()
-            await asyncio.sleep(self.settle_s)
+            await asyncio.sleep(self.watch.settle_s)
             return
         self._apply_records(records, end.era)
         if records:
             # Batch the changes of servers that change at about the same time.
-            await asyncio.sleep(self.settle_s)
+            await asyncio.sleep(self.watch.settle_s)
 
     def _apply_records(self, records: list[KeyedRecord], era: int) -> None:
         for record in records:
--- a/wagtailfork/platform/store.py
+++ b/wagtailfork/platform/store.py
@@ -159,6 +159,10 @@
         self.written_bytes += len(raw)
         _expect_ok(reply)
 
+    def drop_idle(self) -> None:
+        """Close idle connections, which may be silent like a lost one."""
+        self.pool.drop(self.address)
+
     async def _read_frames(
         self,
         topic: str,
@@ -216,8 +220,7 @@
             async with asyncio.timeout(limit_s):
                 return await self._exchange(head, body)
         except TimeoutError as exc:
-            # Idle connections may have become silent at the same time.
-            self.pool.drop(self.address)
+            self.drop_idle()
             raise _unavailable(f'{target}: no answer in {limit_s} s') from exc
         except (RequestNotSent, ResponseError) as exc:
             raise _unavailable(f'{target}: {exc}') from exc
--- a/wagtailfork/tests/relay.py
+++ b/wagtailfork/tests/relay.py
@@ -18,6 +18,7 @@
     target_port: int
     port: int = 0
     refusing: bool = False
+    unresponsive: bool = False
     bytes_relayed: int = 0  # in both directions
     _connections: list[_Connection] = attrs.field(factory=list)
     _server: asyncio.Server | None = None
@@ -36,6 +37,11 @@
         for connection in self._connections:
             connection.silent = True
 
+    def stop_responding(self) -> None:
+        """Discard all further bytes, also on connections that are new."""
+        self.unresponsive = True
+        self.silence()
+
     def cut(self) -> None:
         """Abort the open connections and refuse new ones."""
         self.refusing = True
@@ -70,7 +76,7 @@
         except OSError:
             writer.transport.abort()
             return
-        connection = _Connection((writer, upstream[1]))
+        connection = _Connection((writer, upstream[1]), self.unresponsive)
         self._connections.append(connection)
         await asyncio.gather(
             self._pump(reader, upstream[1], connection),
