Write no error into a response that is being sent

What callers would see: while a response is streamed, a request that follows it on the connection and is malformed or stalls got its 400 or 408 written into the middle of that response.

Cause: a connection counted as free for an error once the response had started, not once it had ended. Now it is aborted in that case, so the response does not look complete.

test_bad_request_spoils_no_response failed before: the caller read "HTTP/1.1 400" after the first chunk.

--- a/wagtailfork/http1/caller.py
+++ b/wagtailfork/http1/caller.py
@@ -268,7 +268,7 @@
         if self._closing:
             return
         self._closing = True
-        if self._current is None or self._current.response_started:
+        if self._current is None:
             head = render_head(
                 _STATUS_LINES[status.value],
                 [(b'Content-Length', b'0'), (b'Connection', b'close')],
--- a/wagtailfork/http1/tests/test_caller.py
+++ b/wagtailfork/http1/tests/test_caller.py
@@ -6,7 +6,7 @@
 
 import testtools
 
-from ..body import BodyTruncated
+from ..body import Body, BodyTruncated
 from ..request import CallerRequest, Limits
 from ..server import CallerServer
 
@@ -215,6 +215,22 @@
         run_scenario(scenario, handler)
         self.assertEqual([True], observed)
 
+    def test_bad_request_spoils_no_response(self) -> None:
+        """An error is not written into a response that is being sent."""
+
+        async def handler(req: CallerRequest) -> None:
+            body = Body()
+            body.feed(b'begun')
+            await req.stream_response(200, [], body)
+
+        async def scenario(reader: Reader, writer: Writer) -> None:
+            writer.write(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+            await reader.readuntil(b'begun\r\n')
+            writer.write(b'no request\r\n\r\n')
+            self.assertEqual(b'', await _read_rest(reader))
+
+        run_scenario(scenario, handler)
+
     def test_caller_stalls_within_body(self) -> None:
         """The connection closes at the idle timeout without a response."""
 
