Hand on no refusal that a server has not stated

What callers saw: a server ran a payment and answered 503, 429 or 408 without Not-Executed; the status was handed on, and callers take it for a promise that nothing ran (REFUSED). A success with a header Not-Executed became a 503, and a second server ran the payment too.

Cause: the status of a server's answer was passed on without asking what it promises, and Not-Executed was believed with any status. Now a request that may run once gets 502 without a signature in the first case, and the success in the second.

test_unstated_refusal_is_no_promise and test_success_is_no_refusal failed before (408 for 502; the payment ran twice).

--- a/wagtailfork/gateway/dialect.py
+++ b/wagtailfork/gateway/dialect.py
@@ -26,6 +26,9 @@
     request_id: str | None = None
     signed: bool = False
     not_run: bool = False
+    # Whether callers take the status for a promise that the request has not
+    # run, stated by the server or not.
+    status_denies_run: bool = False
     other_server: bool = False  # a different server now uses the address
     encoded: bool = False
     server: str | None = None
--- a/wagtailfork/gateway/sender.py
+++ b/wagtailfork/gateway/sender.py
@@ -303,9 +303,16 @@
     if metadata.encoded:
         return 'answer_encoded'
     if response.status not in _SUCCESS:
-        return ''
+        return _failure_fault(metadata, call)
     if not metadata.signed:
         return 'answer_unsigned'
     if metadata.request_id != call.metadata.request_id:
         return 'answer_without_id'
     return ''
+
+
+def _failure_fault(metadata: ResponseMetadata, call: Call) -> str:
+    if metadata.status_denies_run and not call.route.repeatable:
+        # The server does not state it, so the request may have run.
+        return 'refusal_unstated'
+    return ''
--- /dev/null
+++ b/wagtailfork/gateway/tests/test_refusals.py
@@ -0,0 +1,113 @@
+"""Refusals that callers take for a promise that their request has not run."""
+
+import asyncio
+from typing import Any, Final
+
+import testtools
+
+from ...standin.scripted_backend import (
+    ReceivedRequest,
+    ScriptedBackend,
+    Writer,
+    render_response,
+)
+from .rig import Rig, run_scenario
+
+PROMISES: Final = (408, 421, 429, 503)
+RUN_STATUSES: Final = ('408 Timeout', '429 Too Many', '503 Unavailable')
+UNKNOWN: Final = 502
+
+
+def run_and_answer(status: str) -> Any:
+    """Return a script that runs the request and answers with a status."""
+
+    async def script(
+        backend: ScriptedBackend, req: ReceivedRequest, writer: Writer
+    ) -> None:
+        backend.runs.append(req)
+        writer.write(render_response(req, status=status))
+
+    return script
+
+
+async def run_with_header(
+    backend: ScriptedBackend, req: ReceivedRequest, writer: Writer
+) -> None:
+    """Run the request; respond with success and a refusal's header."""
+    backend.runs.append(req)
+    writer.write(render_response(req, extra='Not-Executed: 1\r\n'))
+
+
+async def refuse_twice(
+    backend: ScriptedBackend, req: ReceivedRequest, writer: Writer
+) -> None:
+    """Refuse the first request, twice; run the others late."""
+    if len(backend.arrivals) == 1:
+        refusal = render_response(req, b'', '503 Full', 'Not-Executed: 1\r\n')
+        writer.write(refusal)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.write(refusal)
+        return
+    backend.runs.append(req)
+    await asyncio.sleep(0.05)
+    writer.write(render_response(req))
+
+
+class TestRefusals(testtools.TestCase):
+    """A refusal is passed on only if the server states that nothing ran."""
+
+    def test_unstated_refusal_is_no_promise(self) -> None:
+        """A server runs a payment and answers 503, 429 or 408."""
+        for status in RUN_STATUSES:
+            with self.subTest(status):
+                run_scenario(
+                    lambda rig: self._pay_unstated(rig, run_and_answer(status))
+                )
+
+    def test_unstated_refusal_of_lookup_is_passed_on(self) -> None:
+        """A repeatable request gets the status of its server."""
+        run_scenario(self._look)
+
+    def test_success_is_no_refusal(self) -> None:
+        """A payment whose success bears a refusal's header has run once."""
+        run_scenario(lambda rig: self._pay_once(rig, run_with_header))
+
+    def test_copy_of_refusal_refuses_no_other(self) -> None:
+        """A copy of a refusal on a kept connection refuses no other payment."""
+        run_scenario(self._pay_after_copy)
+
+    async def _pay_unstated(self, rig: Rig, script: Any) -> None:
+        await rig.start()
+        for backend in rig.backends.values():
+            backend.script = script
+        response = await rig.call('/pay/1', 'r1', b'x')
+        self.assertEqual(['r1'], rig.runs())
+        self.assertEqual(UNKNOWN, response.status)
+        self.assertIsNone(response.find(b'server-signature'))
+
+    async def _look(self, rig: Rig) -> None:
+        await rig.start(backends=1)
+        rig.backends['b0'].script = run_and_answer('429 Too Many')
+        response = await rig.call('/look/1')
+        self.assertEqual(429, response.status)
+        self.assertIsNotNone(response.find(b'server-signature'))
+
+    async def _pay_once(self, rig: Rig, script: Any) -> None:
+        await rig.start()
+        for backend in rig.backends.values():
+            backend.script = script
+        response = await rig.call('/pay/1', 'r1', b'x')
+        self.assertEqual(['r1'], rig.runs())
+        self.assertEqual(200, response.status)
+        self.assertEqual(b'done', response.body.payload())
+        self.assertIsNone(response.find(b'not-executed'))
+
+    async def _pay_after_copy(self, rig: Rig) -> None:
+        await rig.start(backends=1)
+        rig.backends['b0'].script = refuse_twice
+        refused = await rig.call('/pay/1', 'r1', b'x')
+        self.assertEqual(503, refused.status)
+        paid = await rig.call('/pay/2', 'r2', b'x')
+        self.assertEqual(['r2'], rig.runs())
+        self.assertNotIn(paid.status, PROMISES)
--- a/wagtailfork/platform/headers.py
+++ b/wagtailfork/platform/headers.py
@@ -31,6 +31,9 @@
 _LEAVING: Final = b'server-leaving'
 _RETRY_AFTER: Final = b'retry-after'
 _UNAVAILABLE: Final = 503
+# Callers take these for a promise that the request has not run and never will.
+_DENY_RUN: Final = frozenset((408, _MISDIRECTED, 429, _UNAVAILABLE))
+_MIN_FAILURE: Final = 400
 _MAX_WAIT_S: Final = 60.0  # for a longer one, the server is asked again
 
 _FROM_CALLER: Final = frozenset((_DEADLINE, _TARGET))
@@ -134,10 +137,14 @@
         """Parse the headers of a response from a backend server."""
         load = response.find(_LOAD)
         other_server = response.status == _MISDIRECTED
+        stated = response.find(_NOT_EXECUTED) is not None
         return ResponseMetadata(
             request_id=_text(response.find(_REQUEST_ID)),
             signed=response.find(_SIGNATURE) is not None,
-            not_run=other_server or response.find(_NOT_EXECUTED) is not None,
+            # A success has run, whatever its headers say.
+            not_run=other_server
+            or (stated and response.status >= _MIN_FAILURE),
+            status_denies_run=response.status in _DENY_RUN,
             other_server=other_server,
             encoded=response.find(b'content-encoding') is not None,
             server=_text(response.find(_INSTANCE)),
