Take no trailer of a server's answer for a header

What callers saw: a server ran a payment and ended its chunked answer with a trailer named Not-Executed; the answer was taken for a refusal, the payment was sent to a second server, which ran it too.

Cause: the parser reports trailers like headers, and the list of the head was still filled by them. Now headers count only until the end of the head, as for the requests of callers.

test_trailer_is_no_refusal failed before: the payment ran twice.

--- a/wagtailfork/gateway/tests/test_refusals.py
+++ b/wagtailfork/gateway/tests/test_refusals.py
@@ -30,6 +30,17 @@
     return script
 
 
+async def run_with_trailer(
+    backend: ScriptedBackend, req: ReceivedRequest, writer: Writer
+) -> None:
+    """Run the request; end the chunked response with a refusal's header."""
+    backend.runs.append(req)
+    head = render_response(req, b'').replace(
+        b'Content-Length: 0', b'Transfer-Encoding: chunked'
+    )
+    writer.write(b'%b4\r\ndone\r\n0\r\nNot-Executed: 1\r\n\r\n' % head)
+
+
 async def run_with_header(
     backend: ScriptedBackend, req: ReceivedRequest, writer: Writer
 ) -> None:
@@ -69,6 +80,10 @@
         """A repeatable request gets the status of its server."""
         run_scenario(self._look)
 
+    def test_trailer_is_no_refusal(self) -> None:
+        """A payment whose response ends with a trailer has run once."""
+        run_scenario(lambda rig: self._pay_once(rig, run_with_trailer))
+
     def test_success_is_no_refusal(self) -> None:
         """A payment whose success bears a refusal's header has run once."""
         run_scenario(lambda rig: self._pay_once(rig, run_with_header))
--- a/wagtailfork/http1/backend.py
+++ b/wagtailfork/http1/backend.py
@@ -44,6 +44,7 @@
         self._waiter: asyncio.Future[BackendResponse] | None = None
         self._response: BackendResponse | None = None
         self._headers: list[Header] = []
+        self._reading_head = False
         self._accept: Accept = _accept_all
         self._skipping = False
         self._until_close = False
@@ -199,14 +200,18 @@
             # A second response: the first is complete and stays valid.
             self._reusable = False
             self._skipping = True
+        self._reading_head = True
         self._headers = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header."""
-        self._headers.append((name, value))
+        if self._reading_head:
+            # A trailer must not pass for a header.
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Pass the response to the waiter if it is accepted."""
+        self._reading_head = False
         if self._response is not None:
             return
         status = self._parser.get_status_code()
