Reject a port of thousands of digits as any other odd port

What operators would see: an entry of another writer with a port of 5,000 digits ended the part that follows the servers; its supervisor restarted it, and a VM that listed the table met the entry again (child_failed, "Exceeds the limit (4300 digits)", in test_odd_entries with such an entry).

Cause: int() refuses so many digits with a ValueError, where the caller of the check expects WagtailforkError only. Now a port has five digits at most.

The doctest of is_address raised that ValueError before.

--- a/wagtailfork/core/address.py
+++ b/wagtailfork/core/address.py
@@ -7,6 +7,7 @@
 from .results import ResultCode
 
 _MAX_PORT: Final = 65535
+_MAX_PORT_DIGITS: Final = 5  # int() raises another error for thousands
 
 
 def split_address(text: str) -> tuple[str, int]:
@@ -23,7 +24,8 @@
         ipaddress.ip_address(host)
     except ValueError as exc:
         raise WagtailforkError(ResultCode.settings_invalid, text) from exc
-    if not port.isdecimal() or int(port) > _MAX_PORT:
+    is_number = port.isdecimal() and len(port) <= _MAX_PORT_DIGITS
+    if not is_number or int(port) > _MAX_PORT:
         raise WagtailforkError(ResultCode.settings_invalid, text)
     return host, int(port)
 
@@ -35,6 +37,8 @@
     (True, False)
     >>> is_address('example:80'), is_address('10.0.0.1:0'), is_address(5)
     (False, False, False)
+    >>> is_address('10.0.0.1:' + '9' * 5000)
+    False
     """
     if not isinstance(found, str) or not found.isascii() or '[' in found:
         return False
