Let no odd entry move a server to another service

Now all fields are required, an entry of a service that is not configured waits for its configuration, and a process (born) keeps its service and its address.

Entries in test_view.py and restore_machine.py got the fields that servers always send; what the tests check is unchanged.

--- a/wagtailfork/gateway/tests/restore_machine.py
+++ b/wagtailfork/gateway/tests/restore_machine.py
@@ -33,6 +33,7 @@
             'service': 'stock',
             'address': f'10.0.0.1:{self.born}',
             'zone': 'a',
+            'version': 'v1',
             'capacity': 4,
             'state': self.state,
             'warmupLeftMs': 0,
--- a/wagtailfork/gateway/tests/test_odd_entries.py
+++ b/wagtailfork/gateway/tests/test_odd_entries.py
@@ -18,6 +18,7 @@
 CALLS = 8
 SETTLE_S = 0.6  # three heartbeats
 HUGE = 10**40
+MISSING = object()  # leaves the field out
 NESTED = b''.join((b'[' * 100000, b']' * 100000))
 NESTED_FIELDS = b''.join((b'{"a":' * 900, b'1', b'}' * 900))
 NESTED_LIST = b''.join((b'[' * 900, b']' * 900))
@@ -46,6 +47,19 @@
     {'zone': '\udfff'},
     {'zone': ['a']},
     {'state': 'asleep'},
+    {'version': MISSING},
+    {'version': 5},
+    {'born': MISSING},
+    {'born': 1.5},
+    {'seq': MISSING},
+    {'service': 'unknown'},
+    {'address': f'127.0.0.1:{"1" * 5000}'},
+)
+# Of a process that is in use elsewhere.
+MOVED_FIELDS: tuple[dict[str, Any], ...] = (
+    {'address': '127.0.0.1:1'},
+    {'service': 'orders'},
+    {'service': 'orders', 'state': 'draining'},
 )
 ODD_NAMES = ('caf\u00e9', '\u65e5\u672c', 'a\r\nX-Odd: 1', 'a b', '')
 ODD_BYTES = (b'', b'\xff', b'null', b'7', NESTED, NESTED_FIELDS, NESTED_LIST)
@@ -137,9 +151,49 @@
 
     async def _overwrite_server(self, rig: Rig) -> None:
         await rig.start(gateways=2)
-        for fields in ODD_FIELDS:
-            rig.register(rig.backends['b0'], **fields)
+        for fields in ODD_FIELDS + MOVED_FIELDS:
+            address = rig.backends['b0'].address
+            raw = _render_entry({'address': address, **fields})
+            rig.store.put(SERVERS_TOPIC, 'b0', raw)
         await self._check_service(rig)
+        for node in rig.nodes:
+            self.assertEqual('stock', node.view.servers['b0'].service)
+
+    def test_odd_entry_reaches_a_late_vm(self) -> None:
+        """A VM that fetches the table learns the last good entry."""
+        self._run(self._fetch_overwritten)
+
+    async def _fetch_overwritten(self, rig: Rig) -> None:
+        await rig.start()
+        await rig.until(lambda: rig.nodes[0].source.reads_store)
+        for number, name in enumerate(('version', 'seq', 'born')):
+            raw = _render_entry({'service': 'orders', name: MISSING})
+            rig.store.put(SERVERS_TOPIC, 'b0', raw)
+            rig.store.put(SERVERS_TOPIC, f'odd-{number}', raw)
+        rig.register(rig.backends['b1'], seq=2, warmupLeftMs=1)
+        await rig.until(lambda: _all_have_warm_up(rig, 'b1'))
+        rig.store.faults.status = 503
+        late = rig.add_gateway('late')
+        late.link.heartbeats.request_heartbeats([rig.nodes[0].membership.me])
+        await rig.until(late.is_ready)
+        rig.store.faults.status = 0
+        await self._check_service(rig)
+
+    def test_entry_waits_for_its_service(self) -> None:
+        """A server of a service that is configured later is used then."""
+        self._run(self._configure_later)
+
+    async def _configure_later(self, rig: Rig) -> None:
+        await rig.start()
+        raw = _render_entry({'service': 'later'})
+        rig.store.put(SERVERS_TOPIC, 'b9', raw)
+        rig.register(rig.backends['b1'], seq=2, warmupLeftMs=1)
+        await rig.until(lambda: _all_have_warm_up(rig, 'b1'))
+        self.assertNotIn('b9', rig.nodes[0].view.servers)
+        document = json.loads(make_config(2))
+        document['services']['later'] = document['services']['stock']
+        rig.store.put(CONFIG_TOPIC, 'config', json.dumps(document).encode())
+        await rig.until(lambda: 'b9' in rig.nodes[0].view.servers)
 
     def test_odd_vms_in_the_list(self) -> None:
         """VMs that start find the others, and list themselves."""
@@ -234,22 +288,31 @@
                 self.assertEqual(200, response.status)
 
 
-def _write_odd_servers(rig: Rig) -> None:
-    good = {
+def _render_entry(changes: dict[str, Any]) -> bytes:
+    fields = {
         'service': 'stock',
         'address': '127.0.0.1:9',
         'zone': 'a',
+        'version': 'v1',
         'capacity': 4,
         'state': 'ready',
         'warmupLeftMs': 0,
         'seq': 1,
         'born': 1,
+        **changes,
+    }
+    present = {
+        name: value for name, value in fields.items() if value is not MISSING
     }
+    return json.dumps(present).encode()
+
+
+def _write_odd_servers(rig: Rig) -> None:
     for number, fields in enumerate(ODD_FIELDS):
-        raw = json.dumps({**good, **fields}).encode()
+        raw = _render_entry(fields)
         rig.store.put(SERVERS_TOPIC, f'odd-field-{number}', raw)
     for name in ODD_NAMES:
-        rig.store.put(SERVERS_TOPIC, name, json.dumps(good).encode())
+        rig.store.put(SERVERS_TOPIC, name, _render_entry({}))
     for number, raw in enumerate(ODD_BYTES):
         rig.store.put(SERVERS_TOPIC, f'odd-bytes-{number}', raw)
 
--- a/wagtailfork/gateway/tests/test_view.py
+++ b/wagtailfork/gateway/tests/test_view.py
@@ -23,9 +23,12 @@
         'service': 'stock',
         'address': '10.0.0.1:80',
         'zone': 'a',
+        'version': 'v1',
         'capacity': 4,
         'state': 'ready',
         'warmupLeftMs': 0,
+        'seq': 1,
+        'born': 1,
     }
     fields.update(changes)
     return json.dumps(fields).encode()
--- a/wagtailfork/gateway/view.py
+++ b/wagtailfork/gateway/view.py
@@ -63,6 +63,8 @@
     _settling_until_s: float = 0
     # Entries of a restored store that are older than what is known.
     _outdated: set[str] = attrs.field(factory=set)
+    # Entries of services that the configuration does not name.
+    _unplaced: dict[str, bytes] = attrs.field(factory=dict)
 
     @property
     def version(self) -> int:
@@ -104,11 +106,15 @@
                 source=source,
             )
             return
+        if self.configuration is None:
+            self._set_unplaced_aside(found)
         self.configuration = found
         self._configuration_era = era
         self.raw_configuration = raw
         self._packed = pack(raw)
         self.configured_at_s = now_s()
+        for name, entry in list(self._unplaced.items()):
+            self._put(name, entry, source)
         self._notify_change(source)
         log_event(
             _logger,
@@ -141,7 +147,8 @@
             )
             return
         restored = self._enter_era(position.era)
-        removed = self._raw_servers.keys() - table.keys()
+        known = self._raw_servers.keys() | self._unplaced.keys()
+        removed = known - table.keys()
         for name in removed:
             self._remove(name, source, restored=restored)
         for name, raw in table.items():
@@ -306,16 +313,54 @@
         )
         return True
 
+    def _set_unplaced_aside(self, cfg: Configuration) -> None:
+        """Remove servers listed before the first configuration was known."""
+        for name, server in list(self.servers.items()):
+            if server.service not in cfg.services:
+                self.servers.pop(name)
+                self._unplaced[name] = self._raw_servers.pop(name)
+
+    def _reject_misplaced(
+        self, found: BackendServer, raw: bytes, source: str
+    ) -> bool:
+        """Return whether an entry cannot be of the server that it names.
+
+        A process keeps its service and its address. An entry of a service that
+        is not configured is tried again with the next configuration.
+        """
+        in_use = self.servers.get(found.name)
+        cfg = self.configuration
+        why = ''
+        if cfg is not None and found.service not in cfg.services:
+            self._unplaced[found.name] = raw
+            why = 'service_unknown'
+        elif in_use is not None and _has_moved(found, in_use):
+            why = 'process_moved'
+        if why:
+            log_warning(
+                _logger,
+                'server_misplaced',
+                server=found.name,
+                why=why,
+                service=found.service,
+                address=found.address,
+                source=source,
+            )
+        return bool(why)
+
     def _put(self, name: str, raw: bytes, source: str) -> None:
         if self._raw_servers.get(name) == raw and self._is_current(name):
             return
-        self._raw_servers[name] = raw
+        self._unplaced.pop(name, None)
         try:
             found = self.decode_server(name, raw)
         except WagtailforkError as exc:
             # An unreadable entry does not replace a known server.
             log_warning(_logger, 'server_unreadable', server=name, error=exc)
             return
+        if self._reject_misplaced(found, raw, source):
+            return
+        self._raw_servers[name] = raw
         if self._reject_outdated(found, source):
             return
         self._outdated.discard(name)
@@ -338,6 +383,7 @@
         self, name: str, source: str, *, restored: bool = False
     ) -> None:
         self._raw_servers.pop(name, None)
+        self._unplaced.pop(name, None)
         self._outdated.discard(name)
         server = self.servers.get(name)
         if server is None:
@@ -361,3 +407,11 @@
     def _notify_change(self, source: str) -> None:
         self.changed_at_s = now_s()
         self.on_change(source)
+
+
+def _has_moved(found: BackendServer, in_use: BackendServer) -> bool:
+    """Return whether one process would have two services or addresses."""
+    if found.started_ms != in_use.started_ms:
+        return False
+    place = (in_use.service, in_use.address)
+    return (found.service, found.address) != place
--- a/wagtailfork/platform/documents.py
+++ b/wagtailfork/platform/documents.py
@@ -172,6 +172,13 @@
     return int(found)
 
 
+def _require_whole(fields: dict[str, Any], key: str) -> int:
+    found = fields.get(key)
+    if isinstance(found, float) and not found.is_integer():
+        raise _malformed(key, found)
+    return _require_number(fields, key)
+
+
 def _optional_number(fields: dict[str, Any], key: str) -> int:
     """Return a number, 0 if it is missing or null."""
     if fields.get(key) is None:
@@ -201,6 +208,7 @@
     if not _is_header_text(name) or ' ' in name:
         raise _malformed('name', name)
     fields = _parse_object(raw)
+    _require_text(fields, 'version')
     state = _require_text(fields, 'state')
     if state not in {_READY, _DRAINING}:
         raise _malformed('state', state)
@@ -209,7 +217,7 @@
         raise _malformed('address', address)
     return BackendServer(
         name=name,
-        started_ms=_require_number(fields, 'born') if 'born' in fields else 0,
+        started_ms=_require_whole(fields, 'born'),
         service=_require_text(fields, 'service'),
         address=address,
         failure_domain=_require_text(fields, 'zone'),
@@ -217,5 +225,5 @@
         draining=state == _DRAINING,
         warm_up_s=_require_number(fields, 'warmupLeftMs', _MAX_WARM_UP_MS)
         / _MS_PER_S,
-        sequence=_require_number(fields, 'seq') if 'seq' in fields else 0,
+        sequence=_require_whole(fields, 'seq'),
     )
--- a/wagtailfork/platform/tests/test_documents.py
+++ b/wagtailfork/platform/tests/test_documents.py
@@ -33,9 +33,11 @@
     'service': 's',
     'address': '10.0.0.1:80',
     'zone': 'a',
+    'version': 'v1',
     'capacity': 4,
     'state': 'ready',
     'warmupLeftMs': 100,
+    'seq': 1,
     'born': 5,
 }
 
