Resume reading from a server once its response is complete

What callers saw: a caller that reads a large answer slowly pauses the reading from its server. If the answer's last bytes were among those that led to the pause, the connection was returned to the pool while paused, and the next request on it, a payment as well, got no answer before its deadline. Found while a test of planned stops was written: three of eight lookups failed with deadline_passed after one send.

Cause: only the reader of a body resumed its source. Now a complete body does, and nothing is resumed on a transport that is closing.

test_connection_is_not_reused_while_paused failed two of three times before; it passed where the server was probed first, as a probe on a paused connection times out and drops it.

--- a/wagtailfork/http1/backend.py
+++ b/wagtailfork/http1/backend.py
@@ -276,6 +276,8 @@
             self.keep_alive_s = float(digits)
 
     def _pause(self, *, pause: bool) -> None:
+        if self._transport.is_closing():
+            return
         if pause:
             self._transport.pause_reading()
         else:
--- a/wagtailfork/http1/body.py
+++ b/wagtailfork/http1/body.py
@@ -61,8 +61,9 @@
         self._changed.set()
 
     def finish(self) -> None:
-        """Mark the body as complete."""
+        """Mark the body as complete; its source may deliver the next one."""
         self.complete = True
+        self._resume_source()
         self._changed.set()
 
     def fail(self) -> None:
@@ -114,7 +115,11 @@
         if self.size > self.replay_limit_bytes:
             self._pieces[index] = b''
             self._discarded = True
-        if self._paused and self.size - self._read_size < HIGH_WATER_BYTES:
+        if self.size - self._read_size < HIGH_WATER_BYTES:
+            self._resume_source()
+        return piece
+
+    def _resume_source(self) -> None:
+        if self._paused:
             self._paused = False
             self.pause_source(pause=False)
-        return piece
