Let a planned stop wait for the last byte of each response

Cause: a connection counted as free once the handler had ended, though its transport held the end of the answer; and the last 0.8 s of the grace were kept for the traffic sums. Evidence: at seven of eight connections whose handlers had ended 144 to 291 KB were unsent 0.4 s after the signal.

Now a connection is finished once its transport is empty, and callers that read on are served until 0.15 s before the end of the grace; the sums are appended meanwhile, at the same time as before.

--- a/wagtailfork/gateway/shutdown.py
+++ b/wagtailfork/gateway/shutdown.py
@@ -15,6 +15,7 @@
 
 POLL_INTERVAL_S: Final = 0.05  # for checking the requests in progress
 FLUSH_TIMEOUT_S: Final = 0.4  # for appending the last traffic sums to the store
+EXIT_MARGIN_S: Final = 0.15  # for the process to end before it is killed
 
 _logger = logging.getLogger(__name__)
 
@@ -45,13 +46,22 @@
     node.link.heartbeats.announce_far()
     await asyncio.sleep(node.cfg.stop_accepts_s)
     node.callers.stop_listening()
-    while now_s() - started_s < node.cfg.stop_limit_s:
-        node.callers.close_idle()
-        if not node.callers.busy():
-            break
-        await asyncio.sleep(POLL_INTERVAL_S)
+    await _finish_responses(node.callers, started_s + node.cfg.stop_limit_s)
     with contextlib.suppress(TimeoutError):
         # If this fails, a neighbour appends its latest replica of the sums.
         async with asyncio.timeout(FLUSH_TIMEOUT_S):
             await node.ledger.flush()
+    # Callers that still read go on until the process has to end.
+    end_s = started_s + node.cfg.stop_grace_s - EXIT_MARGIN_S
+    await _finish_responses(node.callers, end_s)
+    log_event(_logger, 'served', busy=node.callers.busy())
     node.link.close()
+
+
+async def _finish_responses(callers: CallerServer, until_s: float) -> None:
+    """Wait until all responses are sent, or for as long as there is."""
+    while now_s() < until_s:
+        callers.close_idle()
+        if not callers.busy():
+            return
+        await asyncio.sleep(POLL_INTERVAL_S)
--- a/wagtailfork/gateway/tests/test_planned_stop.py
+++ b/wagtailfork/gateway/tests/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import testtools
 
@@ -9,6 +10,13 @@
 from ...http1.headers import render_head
 from ...http1.responses import RequestNotSent, ResponseError
 from ...standin.documents import make_route
+from ...standin.scripted_backend import (
+    ReceivedRequest,
+    ScriptedBackend,
+    Writer,
+    render_response,
+)
+from ..node import GatewayNode
 from .rig import CONFIG_TOPIC, HOST, LIMIT_S, Rig, make_config, run_scenario
 
 CONNECTIONS = 20  # kept open by callers, as long as the VM keeps them
@@ -24,6 +32,15 @@
 ).encode()
 
 
+SEGMENT_BYTES = 1448
+WINDOW_BYTES = 4096  # so that the link holds little
+READERS = 8
+BYTES_PER_S = 500000  # that each reader reads
+READ_BYTES = 700000  # in 1.4 s, and some more for each further reader
+STEP_BYTES = 6000
+LONG_READ_BYTES = 950000  # 1.9 s, after the last traffic sums were appended
+
+
 class TestStopUnderLoad(testtools.TestCase):
     """A stopping VM answers every request that it has read."""
 
@@ -93,6 +110,82 @@
         self.assertEqual([], rig.runs())
 
 
+async def send_sized(
+    backend: ScriptedBackend, req: ReceivedRequest, writer: Writer
+) -> None:
+    """Respond with as many bytes as the path says."""
+    backend.runs.append(req)
+    size = int(req.path.rpartition('/')[2])
+    writer.write(render_response(req, bytes(size)))
+
+
+class TestSlowReaders(testtools.TestCase):
+    """A response is finished when its caller has read its last byte."""
+
+    def test_response_that_is_read_slowly_is_whole(self) -> None:
+        """Its end was in the process when its handler had ended."""
+        run_scenario(lambda rig: self._read_slowly(rig, READ_BYTES))
+
+    def test_response_is_whole_up_to_the_grace(self) -> None:
+        """It is read until shortly before the process is killed."""
+        run_scenario(lambda rig: self._read_slowly(rig, LONG_READ_BYTES))
+
+    async def _read_slowly(self, rig: Rig, size: int) -> None:
+        await rig.start(backends=1, gateways=0)
+        rig.backends['b0'].script = send_sized
+        rig.backends['b0'].slots = READERS
+        rig.add_gateway('vm0', stop_accepts_s=0.2, stop_grace_s=GRACE_S)
+        await rig.until(lambda: all(node.is_ready() for node in rig.nodes))
+        node = rig.nodes[0]
+        sizes = [size + STEP_BYTES * number for number in range(READERS)]
+        streams = [await _request_sized(node, each) for each in sizes]
+        node.request_stop()
+        end = asyncio.create_task(rig.end_process(node))
+        received = await asyncio.gather(
+            *(_read_in_time(reader) for reader, _ in streams)
+        )
+        await end
+        for _, writer in streams:
+            writer.close()
+        self.assertEqual(sizes, received)
+
+
+async def _request_sized(
+    node: GatewayNode, size: int
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Request a response over a link with a small window; read its head."""
+    host, _, port = node.cfg.caller_address.rpartition(':')
+    sock = socket.socket()
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+    sock.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(sock, (host, int(port)))
+    reader, writer = await asyncio.open_connection(
+        sock=sock, limit=WINDOW_BYTES
+    )
+    head = (
+        f'GET /look/{size} HTTP/1.1\r\nHost: {HOST}\r\n'
+        f'Request-Id: slow-{size}\r\nRequest-Deadline-Ms: 9000\r\n\r\n'
+    )
+    writer.write(head.encode())
+    await reader.readuntil(b'\r\n\r\n')
+    return reader, writer
+
+
+async def _read_in_time(reader: asyncio.StreamReader) -> int:
+    """Read evenly up to the end; return the size of the body."""
+    loop = asyncio.get_running_loop()
+    started_s = loop.time()
+    size = 0
+    with contextlib.suppress(ConnectionError):
+        while piece := await reader.read(WINDOW_BYTES):
+            size += piece.count(0)  # of the body, not of its framing
+            due_s = started_s + size / BYTES_PER_S
+            await asyncio.sleep(max(0, due_s - loop.time()))
+    return size
+
+
 async def open_connection(
     address: str,
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
--- a/wagtailfork/http1/caller.py
+++ b/wagtailfork/http1/caller.py
@@ -211,6 +211,14 @@
         """Return whether no request is incomplete or in progress."""
         return self._current is None and self._incoming is None
 
+    @property
+    def finished(self) -> bool:
+        """Return whether it is idle and the caller was sent every byte.
+
+        The transport may hold the end of a response after its handler ended.
+        """
+        return self.idle and not self._transport.get_write_buffer_size()
+
     def start_response(
         self,
         req: CallerRequest,
--- a/wagtailfork/http1/server.py
+++ b/wagtailfork/http1/server.py
@@ -52,5 +52,5 @@
             conn.close_if_idle()
 
     def busy(self) -> int:
-        """Count connections with a request in progress."""
-        return sum(1 for conn in self.connections if not conn.idle)
+        """Count connections with a request or unsent bytes of a response."""
+        return sum(1 for conn in self.connections if not conn.finished)
