Notice callers that leave while their uploads wait

Cause: with some 640 KB unread the reading of a connection is paused, and a paused connection shows neither its end nor its reset. Uploads below that are taken from the queue as they should be.

Bodies above 0.5 MiB are streamed and not fingerprinted as before, although they may be complete now.

--- a/wagtailfork/gateway/call.py
+++ b/wagtailfork/gateway/call.py
@@ -84,6 +84,6 @@
     host = req.find(b'host') or b''
     parts = (req.method, host, req.target)
     digest = zlib.crc32(b' '.join(parts))
-    if req.body.complete and req.body.replayable:
+    if req.body.kept:
         digest = zlib.crc32(req.body.payload(), digest)
     return f'{digest:08x}'
--- a/wagtailfork/http1/backend.py
+++ b/wagtailfork/http1/backend.py
@@ -172,7 +172,7 @@
         if body is None:
             self._transport.write(head)
             return None
-        if body.complete and body.replayable:
+        if body.kept:
             self._transport.write(head + body.payload())
             return None
         return self._stream(head, body)
--- a/wagtailfork/http1/body.py
+++ b/wagtailfork/http1/body.py
@@ -6,8 +6,11 @@
 
 import attrs
 
+from .read_ahead import ReadAhead
+
 REPLAY_LIMIT_BYTES: Final = 524288  # larger bodies cannot be resent
-HIGH_WATER_BYTES: Final = 131072  # unread, before the source is paused
+# Unread, before the source is paused, or bytes of a shared buffer are taken.
+HIGH_WATER_BYTES: Final = 131072
 MIN_PIECE_BYTES: Final = 512  # smaller pieces are joined, to bound the memory
 
 
@@ -32,6 +35,7 @@
 
     replay_limit_bytes: int = REPLAY_LIMIT_BYTES
     pause_source: Callable[..., None] = _ignore_pause
+    read_ahead: ReadAhead = attrs.field(factory=lambda: ReadAhead(0))
     size: int = 0
     complete: bool = False
     truncated: bool = False
@@ -40,6 +44,7 @@
     _read_pieces: int = 0
     _discarded: bool = False
     _paused: bool = False
+    _borrowed: int = 0  # bytes of the shared buffer
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     @property
@@ -47,6 +52,12 @@
         """Return whether the body can be read from its start."""
         return not self._discarded
 
+    @property
+    def kept(self) -> bool:
+        """Return whether it is complete and small enough to be kept whole."""
+        small = self.size <= self.replay_limit_bytes
+        return small and self.complete and self.replayable
+
     def feed(self, piece: bytes) -> None:
         """Append bytes from the source."""
         if self._joins_last():
@@ -56,8 +67,7 @@
         self.size += len(piece)
         unread = self.size - max(self._read_size, self.replay_limit_bytes)
         if unread > HIGH_WATER_BYTES and not self._paused:
-            self._paused = True
-            self.pause_source(pause=True)
+            self._buffer_more(len(piece))
         self._changed.set()
 
     def finish(self) -> None:
@@ -71,6 +81,11 @@
         self.truncated = not self.complete
         self._changed.set()
 
+    def release(self) -> None:
+        """Give back what was taken of the shared buffer."""
+        self.read_ahead.give_back(self._borrowed)
+        self._borrowed = 0
+
     def payload(self) -> bytes:
         """Return all bytes of a complete, replayable body."""
         return b''.join(self._pieces)
@@ -116,9 +131,17 @@
             self._pieces[index] = b''
             self._discarded = True
         if self.size - self._read_size < HIGH_WATER_BYTES:
+            self.release()
             self._resume_source()
         return piece
 
+    def _buffer_more(self, size: int) -> None:
+        if self.read_ahead.take(size):
+            self._borrowed += size
+            return
+        self._paused = True
+        self.pause_source(pause=True)
+
     def _resume_source(self) -> None:
         if self._paused:
             self._paused = False
--- a/wagtailfork/http1/caller.py
+++ b/wagtailfork/http1/caller.py
@@ -14,6 +14,7 @@
 from .body import Body
 from .headers import Header, render_head
 from .idle_watch import TimeoutMonitor
+from .read_ahead import ReadAhead
 from .request import CallerRequest, Limits
 
 _LINGER_S: Final = 1.0  # for a caller to read an early response
@@ -36,6 +37,7 @@
     connections: 'set[CallerConnection]'
     handler: Callable[[CallerRequest], Awaitable[None]]
     limits: Callable[[], Limits]
+    read_ahead: ReadAhead
 
 
 class CallerConnection(asyncio.Protocol):
@@ -100,6 +102,9 @@
         self._timeouts.stop()
         if self._incoming is not None:
             self._incoming.body.fail()
+            self._incoming.body.release()
+        for queued in self._queue:
+            queued.body.release()
         if self._task is not None:
             self._task.cancel()
         self._queue.clear()
@@ -123,7 +128,9 @@
         self._incoming = CallerRequest(
             self,
             now_s(),
-            body=Body(pause_source=self._pause),
+            body=Body(
+                pause_source=self._pause, read_ahead=self._server.read_ahead
+            ),
         )
 
     def on_url(self, url: bytes) -> None:
@@ -311,6 +318,7 @@
             log_warning(_logger, 'handler_failed', error=repr(exc))
             self._respond_failed(req)
         finally:
+            req.body.release()
             self._current = None
             self._task = None
             self._timeouts.record_activity()
--- a/wagtailfork/http1/server.py
+++ b/wagtailfork/http1/server.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 from .caller import CallerConnection
+from .read_ahead import ReadAhead
 from .request import CallerRequest, Limits
 
 Handler = Callable[[CallerRequest], Awaitable[None]]
@@ -21,6 +22,7 @@
         self.handler = handler
         self.limits = limits
         self.draining = False
+        self.read_ahead = ReadAhead()
         self.connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
 
