Keep to the whole wait that a server names

What servers would see: one that turns a request away with 503 and a Retry-After above 60 s got requests of that VM again after 60 s (seen by the review, by reading); the users' rule (BUDGET) binds the VM for the whole time.

Cause: a bound against absurd values was set near usual ones.

--- a/wagtailfork/platform/headers.py
+++ b/wagtailfork/platform/headers.py
@@ -34,7 +34,7 @@
 # Callers take these for a promise that the request has not run and never will.
 _DENY_RUN: Final = frozenset((408, _MISDIRECTED, 429, _UNAVAILABLE))
 _MIN_FAILURE: Final = 400
-_MAX_WAIT_S: Final = 60.0  # for a longer one, the server is asked again
+_MAX_WAIT_S: Final = 86400.0  # a day; a longer one is an error of the server
 
 _FROM_CALLER: Final = frozenset((_DEADLINE, _TARGET))
 _FROM_SERVER: Final = frozenset(
@@ -101,7 +101,7 @@
     >>> parse_wait_s(503, b'1.5'), parse_wait_s(200, b'1.5')
     (1.5, 0)
     >>> parse_wait_s(503, b'-1'), parse_wait_s(503, b'1e9')
-    (None, 60.0)
+    (None, 86400.0)
     """
     if status != _UNAVAILABLE or text is None:
         return 0
