--- a/wagtailfork/cli/gateway.py
+++ b/wagtailfork/cli/gateway.py
@@ -51,6 +51,8 @@
     on_stop_signals(node.request_stop)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, lambda: _reload(node, path))
+    # It was blocked at the start of the process; one that waits arrives now.
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     # Exclude the objects made so far, which live as long as the process, from
     # garbage collection; objects created later are mostly short-lived.
     gc.freeze()
--- /dev/null
+++ b/wagtailfork/gateway/tests/test_early_signals.py
@@ -0,0 +1,64 @@
+"""Signals to a gateway process that has just been started."""
+
+import json
+import pathlib
+import signal
+import subprocess  # noqa: S404
+import sys
+import tempfile
+import time
+from typing import Final
+
+import testtools
+
+from .rig import free_address
+
+DELAYS_S: Final = (0.05, 0.15, 0.3, 0.5)  # an import of the modules takes 0.3 s
+RUN_S: Final = 1.5
+GRACE_S: Final = 5.0
+ADDRESSES: Final = (
+    'caller_address',
+    'ready_address',
+    'directory_address',
+    'fleet_address',
+    'store_address',
+)
+
+
+class TestEarlySignals(testtools.TestCase):
+    """A change of the settings ends no process."""
+
+    def test_reload_during_the_start(self) -> None:
+        """The signal to reload reaches a process before it can handle it."""
+        for delay_s in DELAYS_S:
+            with self.subTest(delay_s):
+                self.assertIsNone(_exit_status(delay_s))
+
+
+def _exit_status(delay_s: float) -> int | None:
+    """Start a gateway, ask it to reload; return its status if it ended."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / 'settings.json'
+        path.write_text(json.dumps(_settings()))
+        command = [sys.executable, '-m', 'wagtailfork', 'gateway']
+        process = subprocess.Popen(  # noqa: S603
+            [*command, '--settings', str(path)], stdout=subprocess.DEVNULL
+        )
+        try:
+            time.sleep(delay_s)
+            process.send_signal(signal.SIGHUP)
+            time.sleep(RUN_S)
+            return process.poll()
+        finally:
+            process.kill()
+            process.wait(GRACE_S)
+
+
+def _settings() -> dict[str, object]:
+    return {
+        'vm': 'vm0',
+        'region': 'r',
+        'failure_domain': 'a',
+        'regions': {'a': 'r'},
+        **{name: free_address() for name in ADDRESSES},
+    }
