Spend no part of the shared retries twice

Cause: a new process began with its whole part of the slack, though its predecessor may have spent it within the window; and the VMs that were left, or a VM that was cut off, took the parts of those that they could not hear.

Now a process has none of the slack for its first window, unless the whole fleet starts for the first time, and the slack is divided by all VMs of the table, down or not.

--- a/wagtailfork/fleet/members.py
+++ b/wagtailfork/fleet/members.py
@@ -216,6 +216,10 @@
             if self._is_reachable(domain, now)
         )
 
+    def known_count(self) -> int:
+        """Count the VMs of the table, up or down, including this one."""
+        return 1 + len(self._table)
+
     def region_count(self, now: float) -> int:
         """Count the live VMs of this region, including this one."""
         return 1 + sum(one.region == self.me.region for one in self.alive(now))
--- a/wagtailfork/gateway/metrics.py
+++ b/wagtailfork/gateway/metrics.py
@@ -144,7 +144,7 @@
         registry=registry,
     )
     now = now_s()
-    vm_count = node.membership.count(now)
+    vm_count = node.membership.known_count()
     for service in node.backends.queues:
         used = node.allowances.of(service).used(now, vm_count)
         spent.set({'service': service}, used)
--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -76,7 +76,10 @@
         self._stop = asyncio.Event()
         self._announce_timer: asyncio.TimerHandle | None = None
         self._changed_by_store = False  # not only by other VMs
-        self.allowances = Allowances(cfg.retries)
+        self.allowances = Allowances(
+            cfg.retries,
+            0 if cfg.first_start else now_s() + cfg.retries.window_s,
+        )
         self.membership = Membership(self._own_member())
         self.topology = Topology(
             failure_domain=cfg.failure_domain,
@@ -324,7 +327,11 @@
         return max(self.source.usage.era, self.view.position.era)
 
     def _vm_count(self) -> int:
-        return self.membership.count(now_s())
+        """Count the VMs that share the slack of the retries.
+
+        A VM that is down has spent its part, or is only cut off and spends it.
+        """
+        return self.membership.known_count()
 
     def _is_listed(self, candidate: Candidate) -> bool:
         return self.backends.candidate(candidate.name) is candidate
--- a/wagtailfork/gateway/tests/rig.py
+++ b/wagtailfork/gateway/tests/rig.py
@@ -105,8 +105,8 @@
         fields.update(changes)
         self.store.put(SERVERS_TOPIC, backend.name, json.dumps(fields).encode())
 
-    def add_gateway(self, vm: str, **changes: Any) -> GatewayNode:
-        """Start a gateway."""
+    def settings(self, vm: str, **changes: Any) -> GatewaySettings:
+        """Return the settings of a gateway, with addresses of its own."""
         fields: dict[str, Any] = {
             'vm': vm,
             'region': 'r',
@@ -122,8 +122,13 @@
             'stop_grace_s': 2.8,
         }
         fields.update(changes)
-        cfg = GatewaySettings(**fields)
-        node = make_gateway(cfg)
+        return GatewaySettings(**fields)
+
+    def add_gateway(self, vm: str, **changes: Any) -> GatewayNode:
+        """Start a gateway."""
+        node = make_gateway(self.settings(vm, **changes))
+        # It takes the place of no process that has spent retries.
+        node.allowances.slack_from_s = 0
         self.nodes.append(node)
         task = asyncio.create_task(node.run())
         self._tasks.append(task)
