Start the processes of the explain test with the fleet

Its processes now start with the fleet, which has its slack at once; what the test checks is unchanged, and passes.

--- a/wagtailfork/explain/tests/test_explain.py
+++ b/wagtailfork/explain/tests/test_explain.py
@@ -47,6 +47,8 @@
             'directory_address': free_address(),
             'fleet_address': free_address(),
             'store_address': self.rig.store_address,
+            # A process that starts again would not retry in its first window.
+            'first_start': True,
         }
         settings = self.folder / f'{vm}.json'
         settings.write_text(json.dumps(fields))
