Set a held server aside without its entry

Found by reading the diff: a VM that lists servers before its first configuration sets those of unknown services aside with their entries. One that was unlisted meanwhile and is only held for a while has no entry, and the KeyError ended the reading of the configuration until the hold was over.

test_held_server_of_unknown_service failed before with that KeyError.

--- a/wagtailfork/gateway/sender.py
+++ b/wagtailfork/gateway/sender.py
@@ -313,6 +313,6 @@
 
 def _failure_fault(metadata: ResponseMetadata, call: Call) -> str:
     if metadata.status_denies_run and not call.route.repeatable:
-        # The server does not state it, so the request may have run.
+        # The server does not state that nothing ran.
         return 'refusal_unstated'
     return ''
--- a/wagtailfork/gateway/tests/test_view.py
+++ b/wagtailfork/gateway/tests/test_view.py
@@ -65,6 +65,25 @@
         self.assertEqual({}, view.servers)
 
 
+class TestFirstConfiguration(testtools.TestCase):
+    """Servers listed before it, of services that it does not name."""
+
+    def test_held_server_of_unknown_service(self) -> None:
+        """One that was unlisted meanwhile has no entry to set aside."""
+        view = make_view()
+        listed = {
+            'held': make_entry(service='x'),
+            'aside': make_entry(service='x'),
+            'used': make_entry(),
+        }
+        view.replace_servers(listed, Position(1, 1), 'test')
+        view.start_recovery_window(1e9)
+        view.apply_server('held', None, Position(1, 2), 'test')
+        view.offer_configuration(make_config(1), 1, 'test')
+        self.assertEqual({'used'}, set(view.servers))
+        self.assertEqual(1, view.version)
+
+
 class TestEras(testtools.TestCase):
     """Entries of a restored store against what is known of their servers."""
 
--- a/wagtailfork/gateway/view.py
+++ b/wagtailfork/gateway/view.py
@@ -316,9 +316,13 @@
     def _set_unplaced_aside(self, cfg: Configuration) -> None:
         """Remove servers listed before the first configuration was known."""
         for name, server in list(self.servers.items()):
-            if server.service not in cfg.services:
-                self.servers.pop(name)
-                self._unplaced[name] = self._raw_servers.pop(name)
+            if server.service in cfg.services:
+                continue
+            self.servers.pop(name)
+            raw = self._raw_servers.pop(name, None)
+            if raw is not None:
+                # One without an entry was unlisted and only held.
+                self._unplaced[name] = raw
 
     def _reject_misplaced(
         self, found: BackendServer, raw: bytes, source: str
