Let a running process change its address

What operators would see: an entry of the same process with a new address was left out since, and its server with it. The rule that a process keeps its service stays, with a test of its own.

--- a/wagtailfork/gateway/tests/test_view.py
+++ b/wagtailfork/gateway/tests/test_view.py
@@ -84,6 +84,27 @@
         self.assertEqual(1, view.version)
 
 
+class TestMoves(testtools.TestCase):
+    """Entries that name another service or address than before."""
+
+    def test_process_keeps_its_service(self) -> None:
+        """Another service takes a newer process, another address does not."""
+        view = make_view()
+        document = json.loads(make_config(1))
+        document['services']['orders'] = document['services']['stock']
+        view.offer_configuration(json.dumps(document).encode(), 1, 'test')
+        view.replace_servers({'s': make_entry()}, Position(1, 1), 'test')
+        moved = make_entry(service='orders')
+        view.apply_server('s', moved, Position(1, 2), 'test')
+        self.assertEqual('stock', view.servers['s'].service)
+        other_address = make_entry(address='10.0.0.2:80')
+        view.apply_server('s', other_address, Position(1, 3), 'test')
+        self.assertEqual('10.0.0.2:80', view.servers['s'].address)
+        restarted = make_entry(service='orders', born=2)
+        view.apply_server('s', restarted, Position(1, 4), 'test')
+        self.assertEqual('orders', view.servers['s'].service)
+
+
 class TestEras(testtools.TestCase):
     """Entries of a restored store against what is known of their servers."""
 
--- a/wagtailfork/gateway/view.py
+++ b/wagtailfork/gateway/view.py
@@ -329,8 +329,8 @@
     ) -> bool:
         """Return whether an entry cannot be of the server that it names.
 
-        A process keeps its service and its address. An entry of a service that
-        is not configured is tried again with the next configuration.
+        A process keeps its service. An entry of a service that is not
+        configured is tried again with the next configuration.
         """
         in_use = self.servers.get(found.name)
         cfg = self.configuration
@@ -414,8 +414,6 @@
 
 
 def _has_moved(found: BackendServer, in_use: BackendServer) -> bool:
-    """Return whether one process would have two services or addresses."""
-    if found.started_ms != in_use.started_ms:
-        return False
-    place = (in_use.service, in_use.address)
-    return (found.service, found.address) != place
+    """Return whether one process would have two services."""
+    same_process = found.started_ms == in_use.started_ms
+    return same_process and found.service != in_use.service
