--- a/wagtailfork/cli/main.py
+++ b/wagtailfork/cli/main.py
@@ -24,6 +24,7 @@
     'objects': ('operator', 'objects_command'),
     'report': ('operator', 'report'),
     'settings': ('operator', 'settings'),
+    'soak': ('soak', 'soak'),
     'standin': ('roles', 'standin'),
     'ticket': ('operator', 'ticket'),
 }
--- /dev/null
+++ b/wagtailfork/cli/soak.py
@@ -0,0 +1,123 @@
+"""The ``soak`` command."""
+
+import asyncio
+import pathlib
+import shutil
+import sys
+import tempfile
+from collections import Counter
+
+import click
+
+from ..core.event_log import render_pair
+from ..soak.answers import GROUPS
+from ..soak.deployment import Deployment
+from ..soak.plan import MAX_GATEWAYS, MAX_SECONDS, SoakPlan
+from ..soak.record import Record
+
+EXIT_BROKEN = 1
+
+
+@click.command()
+@click.option('--seed', default=1, show_default=True)
+@click.option(
+    '--seconds',
+    default=25.0,
+    show_default=True,
+    type=click.FloatRange(1, MAX_SECONDS),
+)
+@click.option(
+    '--gateways',
+    default=12,
+    show_default=True,
+    type=click.IntRange(1, MAX_GATEWAYS),
+    help='Processes, spread over four failure domains.',
+)
+@click.option('--servers', default=20, show_default=True)
+@click.option('--callers', default=60, show_default=True)
+@click.option(
+    '--answers',
+    default='faulty,stated',
+    show_default=True,
+    help=f'Groups of answers of servers: {", ".join(GROUPS)}.',
+)
+@click.option(
+    '--disrupted/--calm',
+    default=True,
+    show_default=True,
+    help='Freeze, kill, stop and reload gateways, crash servers.',
+)
+@click.option(
+    '--checkout',
+    default='',
+    type=click.Path(exists=True, file_okay=False, resolve_path=True),
+    help='Tree of the build to run; default: the installed one.',
+)
+@click.option(
+    '--keep',
+    type=click.Path(file_okay=False),
+    help='Folder for the logs of the gateways if a rule is broken.',
+)
+def soak(keep: str | None, answers: str, **options: object) -> None:
+    """Run gateway processes against faulty stand-ins and check the promises.
+
+    The verdict rests only on what callers and backend servers saw. Exit
+    status: 0 all rules held, 1 a rule was broken.
+    """
+    groups = tuple(name for name in answers.split(',') if name)
+    unknown = set(groups) - set(GROUPS)
+    if unknown:
+        raise click.BadParameter(
+            f'unknown groups: {", ".join(sorted(unknown))}',
+            param_hint='--answers',
+        )
+    plan = SoakPlan(answers=groups, **options)  # type: ignore[arg-type]
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        record = asyncio.run(Deployment(plan, folder).run())
+        _print_report(plan, record)
+        broken = bool(record.broken() or record.unasked)
+        if broken and keep is not None:
+            shutil.copytree(folder, keep, dirs_exist_ok=True)
+    sys.exit(EXIT_BROKEN if broken else 0)
+
+
+def _print_report(plan: SoakPlan, record: Record) -> None:
+    _print_line(
+        'soak',
+        {
+            'seed': plan.seed,
+            'seconds': plan.seconds,
+            'gateways': plan.gateways,
+            'sent': len(record.requests),
+            'answered': record.answered(),
+            'broken': len(record.broken()),
+            'unasked': len(record.unasked),
+        },
+    )
+    _print_counts('answers', record.answers)
+    _print_counts('plays', record.plays)
+    _print_counts('statuses', record.statuses())
+    _print_counts('disruptions', record.disruptions)
+    for rule, seen in record.broken():
+        _print_line(
+            rule,
+            {
+                'id': seen.request_id,
+                'gateway': seen.gateway,
+                'status': seen.status,
+                'sent_s': round(seen.sent_s, 3),
+                'answered_s': round(seen.answered_s, 3),
+                'runs': [(round(at, 3), server) for at, server in seen.runs],
+                'fault': seen.fault,
+            },
+        )
+
+
+def _print_counts(event: str, counts: Counter[str]) -> None:
+    _print_line(event, dict(sorted(counts.items())))
+
+
+def _print_line(event: str, pairs: dict[str, object]) -> None:
+    text = ' '.join(render_pair(key, found) for key, found in pairs.items())
+    click.echo(f'event={event} {text}')
--- /dev/null
+++ b/wagtailfork/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault runs of real gateway processes against stand-ins."""
--- /dev/null
+++ b/wagtailfork/soak/deployment.py
@@ -0,0 +1,177 @@
+"""One run of a soak: a store, servers, gateways and callers."""
+
+import asyncio
+import json
+import logging
+import pathlib
+import random
+import signal
+from typing import Final
+
+import attrs
+
+from ..core.clock import now_s
+from ..core.server import HttpServer, bind
+from ..standin.documents import make_route
+from ..standin.keyed_store import KeyedStoreStandin
+from ..tests.rig_tools import free_port
+from .answers import weights_of
+from .callers import LONGEST_DEADLINE_S, PATIENCE_S, Caller
+from .disruptions import Disruptor
+from .gateways import GatewayProcess
+from .plan import REGIONS, SERVICES, SoakPlan
+from .record import Record
+from .servers import SoakServer
+
+CONFIG_TOPIC: Final = 'keyed.op'
+SERVERS_TOPIC: Final = 'keyed.servers'
+START_LIMIT_S: Final = 60.0
+READY_POLL_S: Final = 0.1
+ROUTE_TIMEOUT_MS: Final = 9000
+OBJECTIVE_MS: Final = 1500
+SETTLE_S: Final = 2.0  # after the last request, for runs that come late
+_KIND_BY_SERVICE: Final = {'stock': 'safe', 'pay': 'unsafe', 'snap': 'upload'}
+_PREFIXES: Final = {'stock': '/look/', 'pay': '/pay/', 'snap': '/snap/'}
+
+
+@attrs.define(eq=False)
+class Deployment:
+    """Run the stand-ins in this process and each gateway in its own."""
+
+    plan: SoakPlan
+    folder: pathlib.Path  # for settings and logs
+    record: Record = attrs.field(factory=Record)
+    store: KeyedStoreStandin = attrs.field(factory=KeyedStoreStandin)
+    servers: list[SoakServer] = attrs.field(factory=list)
+    gateways: list[GatewayProcess] = attrs.field(factory=list)
+    _version: int = 0
+
+    async def run(self) -> Record:
+        """Play the plan; return what callers and servers saw."""
+        # The store's calls end with the gateways that wait for them.
+        logging.getLogger('uvicorn.error').setLevel(logging.CRITICAL)
+        rng = random.Random(self.plan.seed)  # noqa: S311
+        store_address = f'127.0.0.1:{free_port()}'
+        store = HttpServer(self.store.app(), bind(store_address))
+        store_task = asyncio.create_task(store.run())
+        try:
+            await self._start(rng, store_address)
+            await self._play(rng)
+        finally:
+            for gateway in self.gateways:
+                gateway.end()
+            for server in self.servers:
+                server.crash()
+            store_task.cancel()
+        return self.record
+
+    async def _start(self, rng: random.Random, store_address: str) -> None:
+        self._change_configuration()
+        domains = sorted(REGIONS)
+        for number in range(self.plan.servers):
+            await self._add_server(rng, number, domains)
+        for index in range(self.plan.gateways):
+            gateway = GatewayProcess(
+                vm=f'vm{index}',
+                domain=domains[index % len(domains)],
+                store_address=store_address,
+                folder=self.folder,
+                checkout=self.plan.checkout,
+            )
+            self.gateways.append(gateway)
+            gateway.start()
+        async with asyncio.timeout(START_LIMIT_S):
+            for started in self.gateways:
+                await _wait_ready(started)
+
+    async def _add_server(
+        self, rng: random.Random, number: int, domains: list[str]
+    ) -> None:
+        server = SoakServer(
+            name=f'server{number}',
+            service=SERVICES[number % len(SERVICES)],
+            zone=domains[number % len(domains)],
+            address=f'127.0.0.1:{free_port()}',
+            record=self.record,
+            rng=random.Random(rng.random()),  # noqa: S311
+            weights=weights_of(self.plan.answers),
+        )
+        await server.start()
+        self.servers.append(server)
+        self._register(server)
+
+    async def _play(self, rng: random.Random) -> None:
+        until_s = now_s() + self.plan.seconds
+        callers = [
+            Caller(
+                number=number,
+                record=self.record,
+                rng=random.Random(rng.random()),  # noqa: S311
+                addresses=self._addresses,
+            )
+            for number in range(self.plan.callers)
+        ]
+        tasks = [asyncio.create_task(caller.run(until_s)) for caller in callers]
+        if self.plan.disrupted:
+            disruptor = self._make_disruptor(rng)
+            tasks.append(asyncio.create_task(disruptor.run(until_s)))
+        await asyncio.sleep(self.plan.seconds)
+        await asyncio.wait(tasks, timeout=LONGEST_DEADLINE_S + PATIENCE_S)
+        for task in tasks:
+            task.cancel()
+        for failed in await asyncio.gather(*tasks, return_exceptions=True):
+            if isinstance(failed, Exception):
+                raise failed
+        for gateway in self.gateways:
+            gateway.send_signal(signal.SIGCONT)
+        await asyncio.sleep(SETTLE_S)
+
+    def _addresses(self) -> list[str]:
+        return [one.address for one in self.gateways]
+
+    def _make_disruptor(self, rng: random.Random) -> Disruptor:
+        return Disruptor(
+            gateways=self.gateways,
+            servers=self.servers,
+            store=self.store,
+            record=self.record,
+            rng=random.Random(rng.random()),  # noqa: S311
+            register=self._register,
+            unregister=lambda server: self.store.delete_key(
+                SERVERS_TOPIC, server.name
+            ),
+            change_configuration=self._change_configuration,
+        )
+
+    def _register(self, server: SoakServer) -> None:
+        entry = json.dumps(server.entry()).encode()
+        self.store.put(SERVERS_TOPIC, server.name, entry)
+
+    def _change_configuration(self) -> None:
+        self._version += 1
+        routes = {
+            service: make_route(
+                pathPrefix=_PREFIXES[service],
+                type=_KIND_BY_SERVICE[service],
+                service=service,
+                timeoutMs=ROUTE_TIMEOUT_MS,
+                targetLatencyMs=OBJECTIVE_MS,
+            )
+            for service in SERVICES
+        }
+        document = {
+            'version': self._version,
+            'routes': routes,
+            'services': {
+                service: {'healthPath': '/health', 'maxConns': 900}
+                for service in SERVICES
+            },
+            'limits': {'maxBodyBytes': 67108864, 'idleTimeoutMs': 15000},
+        }
+        raw = json.dumps(document).encode()
+        self.store.put(CONFIG_TOPIC, 'config', raw)
+
+
+async def _wait_ready(gateway: GatewayProcess) -> None:
+    while not await gateway.is_ready():
+        await asyncio.sleep(READY_POLL_S)
--- /dev/null
+++ b/wagtailfork/soak/plan.py
@@ -0,0 +1,32 @@
+"""What a soak plays: sizes, duration and kinds of answers and disruptions."""
+
+from typing import Final
+
+import attrs
+
+MAX_GATEWAYS: Final = 150  # processes
+MAX_SECONDS: Final = 600.0
+REGIONS: Final = {'a': 'south', 'b': 'south', 'c': 'north', 'd': 'north'}
+SERVICES: Final = ('stock', 'pay', 'snap')
+HOST: Final = 'shop.example'
+
+
+@attrs.frozen(kw_only=True)
+class SoakPlan:
+    """Hold the choices of one run; the seed decides all others."""
+
+    seed: int = 1
+    seconds: float = attrs.field(
+        default=25.0,
+        validator=(attrs.validators.gt(0), attrs.validators.le(MAX_SECONDS)),
+    )
+    gateways: int = attrs.field(
+        default=12,
+        validator=(attrs.validators.ge(1), attrs.validators.le(MAX_GATEWAYS)),
+    )
+    servers: int = attrs.field(default=20, validator=attrs.validators.ge(3))
+    callers: int = attrs.field(default=60, validator=attrs.validators.ge(1))
+    # Groups of answers, see ``answers.GROUPS``.
+    answers: tuple[str, ...] = ('faulty', 'stated')
+    disrupted: bool = True
+    checkout: str = ''  # of the build to run; empty: the installed one
--- /dev/null
+++ b/wagtailfork/soak/record.py
@@ -0,0 +1,104 @@
+"""What callers and backend servers saw of each request, and its verdict."""
+
+from collections import Counter
+from typing import Final
+
+import attrs
+
+from .answers import Answer
+
+# Statuses that promise that the request has not run and never will.
+PROMISES: Final = frozenset((408, 421, 429, 503))
+_SUCCESS: Final = frozenset(range(200, 300))  # noqa: WPS432
+NO_ANSWER: Final = 0
+MAX_QUOTED_BYTES: Final = 40
+
+
+@attrs.define(eq=False)
+class RequestRecord:
+    """Hold what was seen of one request."""
+
+    request_id: str
+    kind: str
+    gateway: str
+    sent_s: float
+    deadline_s: float
+    runs: list[tuple[float, str]] = attrs.field(factory=list)  # time, server
+    # Whole bodies of the successes that servers sent.
+    bodies: set[bytes] = attrs.field(factory=set)
+    status: int = NO_ANSWER
+    answered_s: float = 0
+    left: bool = False  # the caller closed its connection first
+    fault: str = ''  # of the answer
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether the request may run more than once."""
+        return self.kind == 'look'
+
+    def broken_rule(self) -> str:
+        """Return the name of the rule that was broken, empty if none was."""
+        if self.fault:
+            return 'MIXED'
+        if self.repeatable:
+            return ''
+        if len(self.runs) > 1:
+            return 'TWICE'
+        if self.runs and self.status in PROMISES:
+            return 'REFUSED'
+        return ''
+
+    def check_answer(
+        self, status: int, headers: dict[str, str], body: bytes
+    ) -> None:
+        """Record an answer and whether it belongs to the request."""
+        self.status = status
+        named = headers.get('request-id', self.request_id)
+        if named != self.request_id:
+            self.fault = f'answer of {named}'
+        elif status in _SUCCESS and 'server-signature' not in headers:
+            self.fault = 'success without a signature'
+        elif status in _SUCCESS and body not in self.bodies:
+            self.fault = f'body of {body[:MAX_QUOTED_BYTES]!r}'
+
+
+@attrs.define(eq=False)
+class Record:
+    """Collect the requests of one run and the answers that were played."""
+
+    requests: dict[str, RequestRecord] = attrs.field(factory=dict)
+    answers: Counter[str] = attrs.field(factory=Counter)
+    plays: Counter[str] = attrs.field(factory=Counter)
+    disruptions: Counter[str] = attrs.field(factory=Counter)
+    unasked: list[str] = attrs.field(factory=list)
+
+    def count_answer(self, answer: Answer) -> None:
+        """Count an answer that a server sent."""
+        self.answers[str(answer)] += 1
+
+    def record_run(self, request_id: str, at_s: float, server: str) -> None:
+        """Record that a server began to run a request."""
+        seen = self.requests.get(request_id)
+        if seen is None:
+            self.unasked.append(request_id)
+            return
+        seen.runs.append((at_s, server))
+
+    def statuses(self) -> Counter[str]:
+        """Count the requests by kind and status, 0 without an answer."""
+        return Counter(
+            f'{seen.kind}/{seen.status}' for seen in self.requests.values()
+        )
+
+    def answered(self) -> int:
+        """Count the requests that got an answer."""
+        return sum(seen.status != NO_ANSWER for seen in self.requests.values())
+
+    def broken(self) -> list[tuple[str, RequestRecord]]:
+        """Return each request that broke a rule, with the rule."""
+        found = []
+        for seen in self.requests.values():
+            rule = seen.broken_rule()
+            if rule:
+                found.append((rule, seen))
+        return found
--- /dev/null
+++ b/wagtailfork/soak/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak."""
--- /dev/null
+++ b/wagtailfork/soak/tests/test_soak.py
@@ -0,0 +1,40 @@
+"""A short run of real gateway processes with faulty servers."""
+
+import asyncio
+import pathlib
+import tempfile
+from typing import Final
+
+import testtools
+
+from ..answers import GROUPS
+from ..deployment import Deployment
+from ..plan import SoakPlan
+from ..record import Record
+
+SECONDS: Final = 12.0
+MIN_ANSWERS: Final = 20  # of each of the two kinds, or the run proves nothing
+
+
+def play(plan: SoakPlan) -> Record:
+    """Return what callers and servers saw of a plan."""
+    with tempfile.TemporaryDirectory() as name:
+        return asyncio.run(Deployment(plan, pathlib.Path(name)).run())
+
+
+class TestSoak(testtools.TestCase):
+    """What was refused has not run, what runs once has run once."""
+
+    def test_no_refused_request_runs(self) -> None:
+        """Gateways are disrupted while servers give each kind of answer."""
+        plan = SoakPlan(
+            seed=36, seconds=SECONDS, gateways=8, answers=tuple(GROUPS)
+        )
+        record = play(plan)
+        self.assertEqual([], record.broken())
+        self.assertEqual([], record.unasked)
+        for kind in ('stated/named/reused/not_run', '503/unstated'):
+            count = sum(
+                found for key, found in record.answers.items() if kind in key
+            )
+            self.assertGreaterEqual(count, MIN_ANSWERS, kind)
