Log on whose word a request is refused, and count what servers answer

`refused` now names the servers on whose word it rests, each answer that is taken for 'did not run' has a line with its status, statement, id and first use, an answer that belongs to another request is logged when skipped, and a request that the parser rejects says whether it was handled. A metric counts the answers of servers by the same properties; `explain` names each refusal.

--- a/wagtailfork/explain/causes.py
+++ b/wagtailfork/explain/causes.py
@@ -20,6 +20,12 @@
     'deadline_passed': 'its deadline passed before a server was free',
     'stopping': 'this VM was stopping and could have been cut off with it',
 }
+_SEND_CAUSES: Final = {
+    'answer_lost': '{server} received it, but its answer was lost: {why}',
+    'answer_bad': 'the answer of {server} was invalid: {why}',
+    'server_refused': '{server} answered {status}, stating that it did not run',
+    'second_copy': 'a second copy was sent, as {first} was slow',
+}
 _SLOW_FACTOR: Final = 2.0  # of the usual time; a slower server is reported
 
 
@@ -113,17 +119,17 @@
 def _describe_sends(events: list[LogLine]) -> list[str]:
     causes = []
     for line in events:
-        server = line.fields.get('server')
-        reason = line.fields.get('why', '')
-        if line.event == 'answer_lost':
-            causes.append(
-                f'{server} received it, but its answer was lost: {reason}'
+        template = _SEND_CAUSES.get(line.event)
+        if template is None:
+            continue
+        causes.append(
+            template.format(
+                server=line.fields.get('server'),
+                why=line.fields.get('why', ''),
+                status=line.fields.get('status'),
+                first=line.fields.get('first'),
             )
-        elif line.event == 'answer_bad':
-            causes.append(f'the answer of {server} was invalid: {reason}')
-        elif line.event == 'second_copy':
-            first = line.fields.get('first')
-            causes.append(f'a second copy was sent, as {first} was slow')
+        )
     return causes
 
 
--- a/wagtailfork/gateway/call.py
+++ b/wagtailfork/gateway/call.py
@@ -67,6 +67,8 @@
     candidate: Candidate | None = None
     coordinator: str = ''  # that placed the last copy; empty if none did
     may_have_run: bool = False
+    # Servers that stated that they did not run it, in the order of the sends.
+    refused_by: list[str] = attrs.field(factory=list)
 
     @property
     def host(self) -> str:
--- a/wagtailfork/gateway/dialect.py
+++ b/wagtailfork/gateway/dialect.py
@@ -26,6 +26,8 @@
     request_id: str | None = None
     signed: bool = False
     not_run: bool = False
+    # What the server says of whether the request ran; empty if nothing.
+    statement: str = ''
     # Whether callers take the status for a promise that the request has not
     # run, stated by the server or not.
     status_denies_run: bool = False
--- a/wagtailfork/gateway/meters.py
+++ b/wagtailfork/gateway/meters.py
@@ -34,6 +34,17 @@
         self.total += seconds
 
 
+@attrs.frozen(kw_only=True)
+class AnswerKind:
+    """Classify an answer of a backend server."""
+
+    status: int
+    stated: bool  # it says whether the request ran
+    named: bool  # it bears the id of a request
+    first: bool  # to the first request of its connection
+    skipped: bool  # it belongs to another request
+
+
 @attrs.define(eq=False)
 class Meters:
     """Count requests by outcome, refusals, retries, hedges and bytes."""
@@ -45,6 +56,7 @@
     refusals: Counter[str] = attrs.field(factory=Counter)  # by reason
     retries: Counter[str] = attrs.field(factory=Counter)  # by service
     hedges: Counter[str] = attrs.field(factory=Counter)  # by service
+    answers: Counter[AnswerKind] = attrs.field(factory=Counter)  # of servers
     moved_bytes: Counter[str] = attrs.field(factory=Counter)  # bytes, by reach
 
     def record_ended(
--- a/wagtailfork/gateway/metrics.py
+++ b/wagtailfork/gateway/metrics.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 from itertools import accumulate
-from typing import Final
+from typing import Any, Final
 
 import attrs
 from aioprometheus import Counter, Gauge, Registry, render
@@ -14,6 +14,7 @@
 from .metrics_source import MetricsSource
 
 _REQUESTS: Final = 'Requests of callers by how they ended'
+_ANSWERS: Final = 'Answers of servers by status and what they state'
 _LATENCY: Final = 'Seconds from a request to its end'
 
 
@@ -29,6 +30,7 @@
     """Return the metrics page and its content type."""
     registry = Registry()
     _add_counts(node, registry)
+    _add_answers(node.meters, registry)
     _add_latency(node.meters, registry)
     for name, doc, found in _gauges(node):
         Gauge(name, doc, registry=registry).set({}, found)
@@ -48,6 +50,16 @@
         _add_table(table, registry)
 
 
+def _add_answers(meters: Meters, registry: Registry) -> None:
+    family = Counter('wagtailfork_answers', _ANSWERS, registry=registry)
+    for kind, count in meters.answers.items():
+        family.set(attrs.asdict(kind, value_serializer=_label), count)
+
+
+def _label(_owner: Any, _attribute: Any, found: Any) -> str:
+    return str(found).lower()
+
+
 def _add_table(table: _Table, registry: Registry) -> None:
     family = Counter(table.name, table.doc, registry=registry)
     for label_value, count in table.counts.items():
--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -23,6 +23,7 @@
 from ..traffic.ledger import Ledger
 from .accounting import TrafficAccounting
 from .adapter import Adapter
+from .answer_recorder import AnswerRecorder
 from .backend_registry import BackendRegistry, Topology
 from .crash_detector import CrashDetector
 from .discovery import Discovery
@@ -239,6 +240,7 @@
             suspect_crash=self._suspect_crash,
             limits=self.limits,
             statements=self.statements,
+            answers=AnswerRecorder(self.log, self.meters),
             planned_stop=self.planned_stop,
             record_send=TrafficAccounting(
                 ledger=self.ledger,
--- a/wagtailfork/gateway/responder.py
+++ b/wagtailfork/gateway/responder.py
@@ -1,6 +1,6 @@
 """Final responses to callers: forwarded, failed or refused."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final
 
 import attrs
@@ -54,7 +54,14 @@
     ) -> None:
         """Refuse a routed request that has not run and will not be sent."""
         self._count_ended(call, 'refused')
-        self.refuse(call.req, call.metadata, code, retry_after_s, reason)
+        self.refuse(
+            call.req,
+            call.metadata,
+            code,
+            retry_after_s,
+            reason,
+            refused_by=call.refused_by,
+        )
 
     def record_caller_left(self, call: Call) -> None:
         """Record that the caller disconnected before the response."""
@@ -144,8 +151,13 @@
         code: ResultCode,
         retry_after_s: float | None,
         reason: str = '',
+        *,
+        refused_by: Sequence[str] = (),
     ) -> None:
-        """Refuse a request that has not run and will not be sent."""
+        """Refuse a request that has not run and will not be sent.
+
+        ``refused_by`` names the servers to which it was sent.
+        """
         self.meters.refusals[reason or code.name] += 1
         self.log.emit(
             'refused',
@@ -153,6 +165,7 @@
             id=metadata.request_id,
             code=int(code),
             why=reason or code.name,
+            refused_by=','.join(refused_by) or 'none',
             config=self.version(),
             retry_after_s=retry_after_s,
             ms=(now_s() - req.arrived_s) * 1000,
--- a/wagtailfork/gateway/sender.py
+++ b/wagtailfork/gateway/sender.py
@@ -17,6 +17,7 @@
 from ..routing.load import NEARLY_FULL_SHARE
 from ..routing.queued_request import Refused
 from ..routing.work_time import ServiceTimes
+from .answer_recorder import AnswerRecorder
 from .call import Call, SendResult
 from .dialect import Dialect, ResponseMetadata
 from .limit_recorder import LimitRecorder
@@ -35,6 +36,16 @@
 RecordSend = Callable[[Call, Candidate, str, int], None]
 
 
+@attrs.frozen(kw_only=True)
+class _Copy:
+    """Hold what was known of a copy of a request when it was sent."""
+
+    started_s: float
+    slowness: float
+    full: bool
+    first: bool  # on its connection
+
+
 @attrs.define(eq=False, kw_only=True)
 class Sender:
     """Select a server for a request, send it and classify the result."""
@@ -47,6 +58,7 @@
     record_send: RecordSend
     limits: LimitRecorder
     statements: StatementRecorder
+    answers: AnswerRecorder
     planned_stop: PlannedStop
     service_times: ServiceTimes = attrs.field(factory=ServiceTimes)
 
@@ -119,33 +131,18 @@
             return result
         req = call.req
         head = self.dialect.render_request(req, left_s, candidate.name)
-        call.sends += 1
-        if not call.hedged:
-            # The decision to hedge is about the first copy.
-            call.sent_at_s = started_s
-            call.candidate = candidate
-        call.sent_event.set()
-        self.log.emit(
-            'sent',
-            id=call.metadata.request_id,
-            route=call.route.name,
-            server=candidate.name,
-            far=candidate.distance.round_trip_s * 1000,
-            busy=candidate.load.estimated_requests(started_s),
+        copy = _Copy(
+            started_s=started_s,
             slowness=candidate.load.slowness(started_s),
-            told_ms_ago=candidate.load.report_age_ms(started_s),
-            waited_ms=(started_s - req.arrived_s) * 1000,
-            attempt=call.sends,
-            coordinator=call.coordinator or 'none',
-            limit=candidate.limit.requests_per_s,
+            full=_is_full(candidate, started_s),
+            first=not conn.request_count,
         )
-        slowness = candidate.load.slowness(started_s)
-        full = _is_full(candidate, started_s)
+        self._record_sent(call, candidate, started_s)
         try:
             response = await conn.exchange(
                 head,
                 req.body if req.body.size or not req.body.complete else None,
-                self._response_filter(call, first=not conn.request_count),
+                self._response_filter(call, candidate.name, first=copy.first),
                 head_only=req.method == b'HEAD',
             )
             await response.body.wait_buffered()
@@ -159,21 +156,55 @@
         except ResponseError as exc:
             conn.close()
             self.pool.record_idle_loss(conn)
-            result.delivered = True
             self._record_lost(call, candidate, result, str(exc))
-            self.record_send(call, candidate, 'unknown', 0)
             return result
+        self._record_response(call, candidate, result, response, copy)
+        return result
+
+    def _record_sent(
+        self, call: Call, candidate: Candidate, started_s: float
+    ) -> None:
+        call.sends += 1
+        if not call.hedged:
+            # The decision to hedge is about the first copy.
+            call.sent_at_s = started_s
+            call.candidate = candidate
+        call.sent_event.set()
+        self.log.emit(
+            'sent',
+            id=call.metadata.request_id,
+            route=call.route.name,
+            server=candidate.name,
+            far=candidate.distance.round_trip_s * 1000,
+            busy=candidate.load.estimated_requests(started_s),
+            slowness=candidate.load.slowness(started_s),
+            told_ms_ago=candidate.load.report_age_ms(started_s),
+            waited_ms=(started_s - call.req.arrived_s) * 1000,
+            attempt=call.sends,
+            coordinator=call.coordinator or 'none',
+            limit=candidate.limit.requests_per_s,
+        )
+
+    def _record_response(
+        self,
+        call: Call,
+        candidate: Candidate,
+        result: SendResult,
+        response: BackendResponse,
+        copy: '_Copy',
+    ) -> None:
         result.delivered = True
-        self._evaluate(call, candidate, result, response)
+        metadata = self.dialect.read_response(response)
+        result.metadata = metadata
+        self.answers.record(
+            call, candidate, response, metadata, first=copy.first
+        )
+        self._evaluate(call, candidate, result, response, metadata)
         self.record_send(call, candidate, _outcome(result), response.body.size)
-        if result.usable and result.response is not None:
-            self._record_service_time(
-                call, (now_s() - started_s) / slowness, full=full
-            )
-            self.service_times.record_size(
-                call.route.name, result.response.body.size
-            )
-        return result
+        if result.usable:
+            nominal_s = (now_s() - copy.started_s) / copy.slowness
+            self._record_service_time(call, nominal_s, full=copy.full)
+            self.service_times.record_size(call.route.name, response.body.size)
 
     def _log_queued(self, call: Call, ahead: int) -> None:
         self.log.emit(
@@ -193,17 +224,21 @@
             self.service_times.record(call.route.name, nominal_s)
 
     def _response_filter(
-        self, call: Call, *, first: bool
+        self, call: Call, server: str, *, first: bool
     ) -> Callable[[BackendResponse], bool]:
         expected = call.metadata.request_id
 
         def belongs(response: BackendResponse) -> bool:
-            request_id = self.dialect.read_response(response).request_id
-            if request_id is None:
+            metadata = self.dialect.read_response(response)
+            if metadata.request_id is None:
                 # After the first request on a connection it may be an earlier
                 # response that the server sends once more.
-                return first or not expected
-            return request_id == expected
+                own = first or not expected
+            else:
+                own = metadata.request_id == expected
+            if not own:
+                self.answers.record_skipped(call, server, response, metadata)
+            return own
 
         return belongs
 
@@ -216,7 +251,9 @@
     ) -> None:
         call.may_have_run = True
         result.may_have_run = True
+        result.delivered = True
         result.reason = reason
+        self.record_send(call, candidate, 'unknown', 0)
         candidate.load.record_outcome(now_s(), failed=True)
         self.pool.drop(candidate.address)
         self.suspect_crash(call.fingerprint, candidate.name)
@@ -234,9 +271,8 @@
         candidate: Candidate,
         result: SendResult,
         response: BackendResponse,
+        metadata: ResponseMetadata,
     ) -> None:
-        metadata = self.dialect.read_response(response)
-        result.metadata = metadata
         now = now_s()
         if metadata.load is not None:
             candidate.load.record_report(metadata.load)
--- a/wagtailfork/http1/caller.py
+++ b/wagtailfork/http1/caller.py
@@ -10,7 +10,7 @@
 import httptools
 
 from ..core.clock import now_s
-from ..core.logs import log_warning
+from ..core.logs import log_event, log_warning
 from .body import Body
 from .headers import Header, render_head
 from .idle_watch import TimeoutMonitor
@@ -283,6 +283,13 @@
         if self._closing:
             return
         self._closing = True
+        log_event(
+            _logger,
+            'request_rejected',
+            status=status.value,
+            handled=self._current is not None,
+            head_complete=not self._reading_head,
+        )
         if self._current is None:
             head = render_head(
                 _STATUS_LINES[status.value],
--- a/wagtailfork/platform/headers.py
+++ b/wagtailfork/platform/headers.py
@@ -137,13 +137,15 @@
         """Parse the headers of a response from a backend server."""
         load = response.find(_LOAD)
         other_server = response.status == _MISDIRECTED
-        stated = response.find(_NOT_EXECUTED) is not None
+        statement = response.find(_NOT_EXECUTED)
+        stated = statement is not None
         return ResponseMetadata(
             request_id=_text(response.find(_REQUEST_ID)),
             signed=response.find(_SIGNATURE) is not None,
             # A success has run, whatever its headers say.
             not_run=other_server
             or (stated and response.status >= _MIN_FAILURE),
+            statement=_text(statement) or '',
             status_denies_run=response.status in _DENY_RUN,
             other_server=other_server,
             encoded=response.find(b'content-encoding') is not None,
