Believe no statement that a server's own status or value contradicts

What callers saw: a payment or upload that had run was refused with 503, or sent to a second server, which ran it too.

Cause: the header `Not-Executed` was believed beside any status of 400 or more and with any value. A server's 500 and its 504 count as run; `Not-Executed: 0` says the opposite of the name. The same class as a bare 503: a promise is made on the word of a server that has not given it.

Now the header counts with 4xx and 503 only, and not if one of its values is empty, 0, false or no. A failure is handed on as it is, a denied 503 becomes 502.

--- a/wagtailfork/gateway/tests/test_refusals.py
+++ b/wagtailfork/gateway/tests/test_refusals.py
@@ -16,16 +16,28 @@
 PROMISES: Final = (408, 421, 429, 503)
 RUN_STATUSES: Final = ('408 Timeout', '429 Too Many', '503 Unavailable')
 UNKNOWN: Final = 502
+STATED: Final = 'Not-Executed: 1\r\n'
+# Answers whose status or value contradicts that the request did not run, the
+# status that the caller gets, and whether it is the server's own answer.
+CONTRADICTIONS: Final = (
+    ('500 Internal Server Error', STATED, 500, True),
+    ('504 Gateway Timeout', STATED, 504, True),
+    ('502 Bad Gateway', STATED, 502, True),
+    ('503 Full', 'Not-Executed: 0\r\n', UNKNOWN, False),
+    ('503 Full', 'Not-Executed: False\r\n', UNKNOWN, False),
+    ('503 Full', 'Not-Executed: \r\n', UNKNOWN, False),
+    ('503 Full', f'{STATED}Not-Executed: 0\r\n', UNKNOWN, False),
+)
 
 
-def run_and_answer(status: str) -> Any:
+def run_and_answer(status: str, extra: str = '') -> Any:
     """Return a script that runs the request and answers with a status."""
 
     async def script(
         backend: ScriptedBackend, req: ReceivedRequest, writer: Writer
     ) -> None:
         backend.runs.append(req)
-        writer.write(render_response(req, status=status))
+        writer.write(render_response(req, status=status, extra=extra))
 
     return script
 
@@ -76,6 +88,17 @@
                     lambda rig: self._pay_unstated(rig, run_and_answer(status))
                 )
 
+    def test_contradicted_refusal_is_no_promise(self) -> None:
+        """A server runs a payment and denies it, or fails and denies it."""
+        for status, extra, expected, handed_on in CONTRADICTIONS:
+            with self.subTest(status=status, extra=extra):
+                script = run_and_answer(status, extra)
+                run_scenario(
+                    lambda rig: self._pay_unstated(
+                        rig, script, expected, handed_on=handed_on
+                    )
+                )
+
     def test_unstated_refusal_of_lookup_is_passed_on(self) -> None:
         """A repeatable request gets the status of its server."""
         run_scenario(self._look)
@@ -92,14 +115,23 @@
         """A copy of a refusal on a kept connection refuses no other payment."""
         run_scenario(self._pay_after_copy)
 
-    async def _pay_unstated(self, rig: Rig, script: Any) -> None:
+    async def _pay_unstated(
+        self,
+        rig: Rig,
+        script: Any,
+        expected: int = UNKNOWN,
+        *,
+        handed_on: bool = False,
+    ) -> None:
         await rig.start()
         for backend in rig.backends.values():
             backend.script = script
         response = await rig.call('/pay/1', 'r1', b'x')
         self.assertEqual(['r1'], rig.runs())
-        self.assertEqual(UNKNOWN, response.status)
-        self.assertIsNone(response.find(b'server-signature'))
+        self.assertEqual(expected, response.status)
+        self.assertIsNone(response.find(b'not-executed'))
+        signed = response.find(b'server-signature') is not None
+        self.assertEqual(handed_on, signed)
 
     async def _look(self, rig: Rig) -> None:
         await rig.start(backends=1)
--- a/wagtailfork/http1/responses.py
+++ b/wagtailfork/http1/responses.py
@@ -25,3 +25,7 @@
     def find(self, name: bytes) -> bytes | None:
         """Return the first value of a header by its lower-case name."""
         return header_value(self.headers, name)
+
+    def find_all(self, name: bytes) -> list[bytes]:
+        """Return all values of a header by its lower-case name."""
+        return [value for key, value in self.headers if key.lower() == name]
--- a/wagtailfork/platform/headers.py
+++ b/wagtailfork/platform/headers.py
@@ -34,6 +34,8 @@
 # Callers take these for a promise that the request has not run and never will.
 _DENY_RUN: Final = frozenset((408, _MISDIRECTED, 429, _UNAVAILABLE))
 _MIN_FAILURE: Final = 400
+_MIN_SERVER_FAILURE: Final = 500
+_DENIALS: Final = frozenset((b'', b'0', b'false', b'no'))
 _MAX_WAIT_S: Final = 86400.0  # a day; a longer one is an error of the server
 
 _FROM_CALLER: Final = frozenset((_DEADLINE, _TARGET))
@@ -69,6 +71,24 @@
     )
 
 
+def states_not_run(status: int, statements: list[bytes]) -> bool:
+    """Return whether a response states that its request did not run.
+
+    A success and a server's failure have run, whatever their headers say.
+
+    >>> states_not_run(503, [b'1']), states_not_run(500, [b'1'])
+    (True, False)
+    >>> states_not_run(503, []), states_not_run(503, [b'1', b'false'])
+    (False, False)
+    """
+    if status < _MIN_FAILURE:
+        return False
+    if status >= _MIN_SERVER_FAILURE and status != _UNAVAILABLE:
+        return False
+    words = {text.strip().lower() for text in statements}
+    return bool(words) and words.isdisjoint(_DENIALS)
+
+
 def parse_limit(text: bytes | None) -> float | None:
     """Parse a limit in requests a second; None if it is no valid number.
 
@@ -137,15 +157,12 @@
         """Parse the headers of a response from a backend server."""
         load = response.find(_LOAD)
         other_server = response.status == _MISDIRECTED
-        statement = response.find(_NOT_EXECUTED)
-        stated = statement is not None
+        statements = response.find_all(_NOT_EXECUTED)
         return ResponseMetadata(
             request_id=_text(response.find(_REQUEST_ID)),
             signed=response.find(_SIGNATURE) is not None,
-            # A success has run, whatever its headers say.
-            not_run=other_server
-            or (stated and response.status >= _MIN_FAILURE),
-            statement=_text(statement) or '',
+            not_run=other_server or states_not_run(response.status, statements),
+            statement=b','.join(statements).decode('latin-1'),
             status_denies_run=response.status in _DENY_RUN,
             other_server=other_server,
             encoded=response.find(b'content-encoding') is not None,
