Send nothing once the caller has its final answer

What callers would see: a payment runs after it was refused at its deadline. The refusal is written while the cancelled task of the sender has not ended, so it was true only as long as nothing that the task awaits swallows the cancellation.

Now the one who answers marks the call as concluded, and a send checks the mark in the same step in which it writes. test_nothing_is_sent_after_a_refusal plays a placement that outlives its cancellation and failed before (the payment ran).

--- a/wagtailfork/gateway/call.py
+++ b/wagtailfork/gateway/call.py
@@ -67,6 +67,8 @@
     candidate: Candidate | None = None
     coordinator: str = ''  # that placed the last copy; empty if none did
     may_have_run: bool = False
+    # The caller has its final answer, so nothing may be sent any more.
+    concluded: bool = False
     # Servers that stated that they did not run it, in the order of the sends.
     refused_by: list[str] = attrs.field(factory=list)
 
--- a/wagtailfork/gateway/responder.py
+++ b/wagtailfork/gateway/responder.py
@@ -53,7 +53,7 @@
         reason: str,
     ) -> None:
         """Refuse a routed request that has not run and will not be sent."""
-        self._count_ended(call, 'refused')
+        self._conclude(call, 'refused')
         self.refuse(
             call.req,
             call.metadata,
@@ -65,7 +65,7 @@
 
     def record_caller_left(self, call: Call) -> None:
         """Record that the caller disconnected before the response."""
-        self._count_ended(call, 'caller_left')
+        self._conclude(call, 'caller_left')
         self.log.emit(
             'caller_left',
             id=call.metadata.request_id,
@@ -77,7 +77,7 @@
         self, call: Call, response: BackendResponse, result: SendResult
     ) -> None:
         headers = self.dialect.response_headers(response)
-        self._count_ended(call, 'answered')
+        self._conclude(call, 'answered')
         self.log.emit(
             'answered',
             id=call.metadata.request_id,
@@ -102,7 +102,7 @@
                 result.conn.close()
 
     def _abort(self, call: Call, why: str) -> None:
-        self._count_ended(call, 'broken_off')
+        self._conclude(call, 'broken_off')
         self.log.emit(
             'broken_off',
             important=True,
@@ -121,7 +121,8 @@
             return
         self.refuse_call(call, ResultCode.overloaded, None, 'deadline_passed')
 
-    def _count_ended(self, call: Call, outcome: str) -> None:
+    def _conclude(self, call: Call, outcome: str) -> None:
+        call.concluded = True
         self.meters.record_ended(
             call.service,
             call.route.name,
@@ -130,7 +131,7 @@
         )
 
     def _fail(self, call: Call, code: ResultCode, reason: str) -> None:
-        self._count_ended(call, 'failed')
+        self._conclude(call, 'failed')
         self.log.emit(
             'failed',
             important=True,
--- a/wagtailfork/gateway/sender.py
+++ b/wagtailfork/gateway/sender.py
@@ -126,7 +126,7 @@
         result = SendResult(server=candidate.name)
         started_s = now_s()
         left_s = call.deadline_at_s - started_s
-        if left_s <= 0:
+        if left_s <= 0 or call.concluded:
             result.reason = 'deadline_passed'
             return result
         req = call.req
--- a/wagtailfork/gateway/tests/test_refusals.py
+++ b/wagtailfork/gateway/tests/test_refusals.py
@@ -1,8 +1,10 @@
 """Refusals that callers take for a promise that their request has not run."""
 
 import asyncio
+import contextlib
 from typing import Any, Final
 
+import attrs
 import testtools
 
 from ...standin.scripted_backend import (
@@ -11,11 +13,12 @@
     Writer,
     render_response,
 )
-from .rig import Rig, run_scenario
+from .rig import LIMIT_S, Rig, run_scenario
 
 PROMISES: Final = (408, 421, 429, 503)
 RUN_STATUSES: Final = ('408 Timeout', '429 Too Many', '503 Unavailable')
 UNKNOWN: Final = 502
+SETTLE_S: Final = 0.2  # for a send that comes after the response
 STATED: Final = 'Not-Executed: 1\r\n'
 # Answers whose status or value contradicts that the request did not run, the
 # status that the caller gets, and whether it is the server's own answer.
@@ -77,6 +80,23 @@
     writer.write(render_response(req))
 
 
+@attrs.define(eq=False)
+class UncancellablePlacer:
+    """Place a request although its task is cancelled meanwhile."""
+
+    placer: Any
+
+    async def place(self, queue: Any, queued: Any) -> Any:
+        """Ignore one cancellation, then place."""
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.sleep(LIMIT_S)
+        return await self.placer.place(queue, queued)
+
+    def end(self, placement: Any, queue: Any, outcome: Any) -> None:
+        """Free the slot."""
+        self.placer.end(placement, queue, outcome)
+
+
 class TestRefusals(testtools.TestCase):
     """A refusal is passed on only if the server states that nothing ran."""
 
@@ -115,6 +135,20 @@
         """A copy of a refusal on a kept connection refuses no other payment."""
         run_scenario(self._pay_after_copy)
 
+    def test_nothing_is_sent_after_a_refusal(self) -> None:
+        """A sender outlives the refusal of its request at the deadline."""
+        run_scenario(self._pay_late)
+
+    async def _pay_late(self, rig: Rig) -> None:
+        await rig.start(backends=1)
+        sender = rig.nodes[0].forwarder.sender
+        placer: Any = UncancellablePlacer(sender.placer)
+        sender.placer = placer
+        response = await rig.call('/pay/1', 'r1', b'x', deadline_ms=300)
+        await asyncio.sleep(SETTLE_S)
+        self.assertEqual(503, response.status)
+        self.assertEqual([], rig.runs())
+
     async def _pay_unstated(
         self,
         rig: Rig,
