Believe no shed without an id on a kept connection (own interface)

What callers would see: 'not run' for a payment that ran, or a second run of it: a server that sheds a request twice, without an id, has its second copy taken for the answer to the next request on the connection.

A shed without the request's id now counts only as the first answer of its connection, which the client library's trace tells; otherwise the outcome is unknown (4002) and the connections to that server are replaced. Sheds with an id, and sheds of servers that name none on their first answer, stay as they were.

--- a/wagtailfork/proxy/sender.py
+++ b/wagtailfork/proxy/sender.py
@@ -32,6 +32,7 @@
 
 _SERVER_ERROR: Final = 500
 _UNAVAILABLE: Final = 503
+_SHED_VALUE: Final = '1'
 _SERVER_FAULTS: Final = frozenset((EndReason.broken, EndReason.stalled))
 
 _FAILURE_CODES: Final = {
@@ -229,11 +230,24 @@
             )
         if hdrs.DRAINING in response.headers:
             self._pool.on_draining(endpoint)
-        is_shed = hdrs.SHED in response.headers
-        if is_shed and response.status == _UNAVAILABLE:
+        if _is_shed(response):
+            self._check_shed(endpoint, response)
             response.release()
             raise WagtailforkError(ResultCode.backend_shed, endpoint.name)
 
+    def _check_shed(self, endpoint: Endpoint, response: ClientResponse) -> None:
+        """Raise ``connection_lost`` if it may be about an earlier request."""
+        if hdrs.REQUEST_ID in response.headers:
+            return
+        if not self._upstream.on_reused_connection(response):
+            return
+        response.close()
+        self._upstream.retire(endpoint.backend.address)
+        raise WagtailforkError(
+            ResultCode.connection_lost,
+            f'{endpoint.name} shed without an id on a kept connection',
+        )
+
     def _far_link(self, endpoint: Endpoint) -> LinkBudget | None:
         is_near = endpoint.backend.region == self._pool.region
         return None if is_near else self._admission.far_link
@@ -269,6 +283,11 @@
         self._admission.release(exchange.endpoint, duration_s)
 
 
+def _is_shed(response: ClientResponse) -> bool:
+    stated = response.headers.get(hdrs.SHED, '').strip() == _SHED_VALUE
+    return stated and response.status == _UNAVAILABLE
+
+
 def _make_upstream_request(
     req: CallerRequest,
     remaining_s: float,
--- a/wagtailfork/proxy/tests/test_sender.py
+++ b/wagtailfork/proxy/tests/test_sender.py
@@ -8,8 +8,11 @@
 import testtools
 
 from ...control.objects import Service
+from ...core.errors import WagtailforkError
+from ...core.results import ResultCode
 from ...routing.placement import Placement
 from ...routing.tests.scene import Scene
+from ..headers import REQUEST_ID, SHED
 from ..hedger import Hedger
 from ..request import RequestHead, parse_request_head
 from ..sender import Sender
@@ -31,6 +34,9 @@
     headers: dict[str, str] = attrs.field(factory=dict)
     closed: bool = False
 
+    def release(self) -> None:
+        """Keep the connection."""
+
     def close(self) -> None:
         """Record that the connection was closed."""
         self.closed = True
@@ -41,12 +47,21 @@
     """Respond at once, or never for the servers in ``silent``."""
 
     silent: set[str] = attrs.field(factory=set)
+    response: FakeResponse = attrs.field(factory=FakeResponse)
+    reused: bool = False
 
     async def send(self, endpoint: Any, *_request: Any) -> FakeResponse:
         """Return a response head."""
         if endpoint.name in self.silent:
             await asyncio.Event().wait()
-        return FakeResponse()
+        return self.response
+
+    def on_reused_connection(self, _response: Any) -> bool:
+        """Return what the test says."""
+        return self.reused
+
+    def retire(self, _address: str) -> None:
+        """Keep no connections."""
 
 
 class HangingNotifier:
@@ -76,6 +91,48 @@
         scene = Scene(regions=('south-tas', 'south-tas'))
         run_scene(scene, self._cancel_hedged)
 
+    def test_unnamed_copy_of_shed_is_no_refusal(self) -> None:
+        """A shed without an id on a kept connection may be an earlier one."""
+        for named, reused, denied, expected in (
+            (False, True, False, ResultCode.connection_lost),
+            (False, False, False, ResultCode.backend_shed),
+            (True, True, False, ResultCode.backend_shed),
+            (False, False, True, None),
+        ):
+            run_scene(
+                Scene(),
+                lambda scene: self._shed(
+                    scene, expected, named=named, reused=reused, denied=denied
+                ),
+            )
+
+    async def _shed(
+        self,
+        scene: Scene,
+        expected: ResultCode | None,
+        *,
+        named: bool,
+        reused: bool,
+        denied: bool,
+    ) -> None:
+        req = parse_request_head(REQUEST_HEAD, 1e9)
+        headers = {SHED: '0' if denied else '1'}
+        if named:
+            headers[REQUEST_ID] = req.request_id
+        upstream = FakeUpstream(
+            response=FakeResponse(503, headers), reused=reused
+        )
+        sender, placement = make_sender(scene, upstream)
+        endpoint = await placement.acquire(
+            scene.slot_request(), req.fingerprint
+        )
+        code = None
+        try:
+            await sender.attempt(req, Service(), endpoint)
+        except WagtailforkError as exc:
+            code = exc.code
+        self.assertEqual(expected, code)
+
     async def _cancel_during_notification(self, scene: Scene) -> None:
         sender, placement = make_sender(scene, FakeUpstream())
         req = parse_request_head(REQUEST_HEAD, 1e9)
--- a/wagtailfork/routing/upstream.py
+++ b/wagtailfork/routing/upstream.py
@@ -8,6 +8,7 @@
 import asyncio
 import enum
 import socket
+import weakref
 from collections.abc import AsyncIterator, Callable, Sequence
 from typing import Any, Final
 
@@ -102,6 +103,26 @@
     return sock
 
 
+@attrs.define(eq=False)
+class _Exchange:
+    """Record whether the connection of an exchange carried another before."""
+
+    reused: bool = False
+
+
+async def _record_reuse(
+    _session: ClientSession, ctx: Any, _connection: Any
+) -> None:
+    if ctx.trace_request_ctx is not None:
+        ctx.trace_request_ctx.reused = True
+
+
+def _make_trace() -> aiohttp.TraceConfig:
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_reuseconn.append(_record_reuse)
+    return trace
+
+
 def _make_session() -> ClientSession:
     connector = aiohttp.TCPConnector(
         limit=0,
@@ -112,6 +133,7 @@
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
+        trace_configs=[_make_trace()],
         timeout=aiohttp.ClientTimeout(
             total=None,
             sock_connect=CONNECT_TIMEOUT_S,
@@ -150,6 +172,9 @@
     _retired: list[ClientSession] = attrs.field(factory=list)
     _probe_tasks: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     retirements: int = 0
+    _on_reused: weakref.WeakSet[ClientResponse] = attrs.field(
+        factory=weakref.WeakSet
+    )
 
     async def send(
         self,
@@ -165,14 +190,16 @@
         address = endpoint.backend.address
         url = URL(f'http://{address}{req.target}', encoded=True)
         session = self._session(address)
+        exchange = _Exchange()
         try:
             async with asyncio.timeout(first_byte_s) as scope:
-                return await session.request(
+                response = await session.request(
                     req.method,
                     url,
                     headers=req.headers,
                     data=_payload(req.body, scope),
                     allow_redirects=False,
+                    trace_request_ctx=exchange,
                 )
         except aiohttp.ClientConnectorError as exc:
             raise UpstreamError(FailureKind.not_sent, repr(exc)) from exc
@@ -182,6 +209,13 @@
             raise UpstreamError(FailureKind.silent, address) from exc
         except (aiohttp.ClientError, OSError) as exc:
             raise UpstreamError(_loss_kind(req.body), repr(exc)) from exc
+        if exchange.reused:
+            self._on_reused.add(response)
+        return response
+
+    def on_reused_connection(self, response: ClientResponse) -> bool:
+        """Return whether its connection carried another exchange before."""
+        return response in self._on_reused
 
     def check_connections(self, endpoint: Endpoint) -> None:
         """Probe on a new connection; if it answers, retire the existing ones.
