--- a/wagtailfork/routing/dealer.py
+++ b/wagtailfork/routing/dealer.py
@@ -25,6 +25,9 @@
 COLLECT_REPORTS_S: Final = 0.3  # in which a new dealer collects reports
 GRANT_LOST_AFTER_S: Final = 1.0  # after which a grant counts as lost
 RECALL_INTERVAL_S: Final = 0.02
+# After which the slots of a VM that answers no recall are lent again. A VM that
+# runs answers within REPORT_INTERVAL_S of the share.
+HOLDER_SILENT_AFTER_S: Final = 0.25
 CONTENTION_S: Final = 0.05  # for which an unmet want prevents parking
 
 Outgoing = list[tuple[str, Message]]
@@ -71,6 +74,8 @@
     _sequence: dict[str, int] = attrs.field(factory=dict)
     _granted_at: dict[str, float] = attrs.field(factory=dict)
     _recalled_at: float = float('-inf')
+    # Time of the first recall that a holder has not answered.
+    _unanswered_since: dict[str, float] = attrs.field(factory=dict)
     _contended_until: float = float('-inf')
 
     def adjust_slots(self, slots: Mapping[str, int], now: float) -> Outgoing:
@@ -83,6 +88,7 @@
         live = set(members)
         for gone in sorted(set(self._held) - live):
             self._held.pop(gone)
+            self._unanswered_since.pop(gone, None)
         for gone in set(self._wants) - live:
             self._wants.pop(gone)
         for name in sorted(live):
@@ -92,6 +98,7 @@
     def on_want(self, holder: str, want: SlotWant, now: float) -> Outgoing:
         """Store a VM's queued requests; an empty want withdraws the last."""
         self._held.setdefault(holder, collections.Counter())
+        self._unanswered_since.pop(holder, None)
         self._wants.pop(holder, None)
         self._virtual_times.count(want.served)
         if want.lanes:
@@ -103,6 +110,7 @@
         self, holder: str, returned: SlotReturn, now: float
     ) -> Outgoing:
         """Free returned slots."""
+        self._unanswered_since.pop(holder, None)
         held = self._held.setdefault(holder, collections.Counter())
         held.subtract(returned.backends)
         self._held[holder] = +held
@@ -110,6 +118,7 @@
 
     def on_held(self, holder: str, report: SlotsHeld, now: float) -> Outgoing:
         """Store a holder's report, unless a grant to it is in transit."""
+        self._unanswered_since.pop(holder, None)
         last_sequence = self._sequence.get(holder)
         granted_at = self._granted_at.get(holder, 0)
         is_outdated = (
@@ -121,17 +130,23 @@
         self._held[holder] = collections.Counter(report.backends)
         return self._serve(now)
 
-    def _balance(self) -> collections.Counter[str]:
+    def _balance(self, now: float) -> collections.Counter[str]:
         """Count free slots by endpoint, below zero where too many are lent."""
         balance = collections.Counter(self._slots)
-        for held in self._held.values():
-            balance.subtract(held)
+        for holder, held in self._held.items():
+            if not self._is_silent(holder, now):
+                balance.subtract(held)
         return balance
 
+    def _is_silent(self, holder: str, now: float) -> bool:
+        since = self._unanswered_since.get(holder, now)
+        return now - since > HOLDER_SILENT_AFTER_S
+
     def _serve(self, now: float) -> Outgoing:
         if now < self.collecting_until:
             return []
-        balance = self._balance()
+        self._drop_silent_wants(now)
+        balance = self._balance(now)
         free = +balance
         is_overcommitted = bool(-balance)
         grants: dict[str, list[str]] = {}
@@ -140,16 +155,30 @@
             self._lend(self._next_holder(), free, grants)
         if self._wants:
             self._contended_until = now + CONTENTION_S
-        while free and self._held and now >= self._contended_until:
-            # Park idle slots: lend them in advance to the VM that holds the
-            # fewest.
-            holder = min(self._held, key=self._count_held)
-            self._lend(holder, free, grants)
+        if now >= self._contended_until:
+            self._park(free, grants, now)
         granted = [
             self._grant(holder, names, now) for holder, names in grants.items()
         ]
         return granted + self._recall(now, is_overcommitted=is_overcommitted)
 
+    def _drop_silent_wants(self, now: float) -> None:
+        """Lend nothing to silent VMs, which ask again once they run."""
+        for holder in tuple(self._wants):
+            if self._is_silent(holder, now):
+                self._wants.pop(holder)
+
+    def _park(
+        self,
+        free: collections.Counter[str],
+        grants: dict[str, list[str]],
+        now: float,
+    ) -> None:
+        """Lend idle slots in advance to the VMs that hold the fewest."""
+        heard = [name for name in self._held if not self._is_silent(name, now)]
+        while free and heard:
+            self._lend(min(heard, key=self._count_held), free, grants)
+
     def _next_holder(self) -> str:
         """Select the holder of the next slot and count it against its want."""
         customer = self._virtual_times.first(self._waiting_customers())
@@ -213,6 +242,9 @@
             waited_ms=(now - since) * 1000,
             finish=self._virtual_times.lowest(self._waiting_customers()),
         )
+        for holder, held in self._held.items():
+            if held:
+                self._unanswered_since.setdefault(holder, now)
         return [(name, recall) for name in self._held]
 
     def is_busy(self, now: float) -> bool:
--- a/wagtailfork/routing/share.py
+++ b/wagtailfork/routing/share.py
@@ -24,6 +24,8 @@
 # Lead in virtual time, in requests, up to which a customer keeps its slot.
 MAX_LEAD_REQUESTS: Final = 4.0
 WANT_INTERVAL_S: Final = 0.001
+# Between two answers to recalls of slots that are all in use.
+REPORT_INTERVAL_S: Final = 0.1
 _CONTENTION_S: Final = 0.05
 
 Send = Callable[[str, Message], None]  # service, message to its dealer
@@ -72,6 +74,7 @@
     )
     _last_wants: dict[str, tuple[bool, float]] = attrs.field(factory=dict)
     _served: dict[str, dict[str, float]] = attrs.field(factory=dict)
+    _reported_at: dict[str, float] = attrs.field(factory=dict)
 
     def want(self, service: str, lanes: dict[str, int], since: float) -> None:
         """Send a want for queued requests, the oldest queued at ``since``."""
@@ -116,7 +119,11 @@
         self._send_return(grant.service, refused)
 
     def on_recall(self, recall: SlotRecall) -> None:
-        """Return idle slots now, and for a while those that become free."""
+        """Return idle slots now, and for a while those that become free.
+
+        If none is idle, report the held ones: a VM that answers no recall
+        loses them.
+        """
         self._last_message_at[recall.service] = self._clock()
         self._contended[recall.service] = _Contention(
             recall.waited_ms / 1000,
@@ -128,6 +135,8 @@
             spare = (endpoint.held or 0) - endpoint.in_flight
             idle.extend(itertools.repeat(endpoint.name, spare))
         self._return_held(recall.service, idle)
+        if not idle:
+            self._report_held(recall.service)
 
     def on_release(
         self, endpoint: Endpoint, next_request: NextRequest | None
@@ -178,6 +187,16 @@
         self._sequence.pop(service, None)
         self._last_wants.pop(service, None)
 
+    def _report_held(self, service: str) -> None:
+        now = self._clock()
+        reported_at = self._reported_at.get(service, float('-inf'))
+        if now - reported_at < REPORT_INTERVAL_S:
+            return
+        report = self.report(service)
+        if report.backends:
+            self._reported_at[service] = now
+            self._send(service, report)
+
     def _return_held(self, service: str, names: list[str]) -> None:
         for name in names:
             endpoint = self._pool.by_name(name)
--- a/wagtailfork/routing/tests/test_lending.py
+++ b/wagtailfork/routing/tests/test_lending.py
@@ -16,10 +16,12 @@
 from ..dealer import (
     CONTENTION_S,
     GRANT_LOST_AFTER_S,
+    HOLDER_SILENT_AFTER_S,
     Dealer,
     Outgoing,
     dealer_of,
 )
+from ..share import REPORT_INTERVAL_S
 from .scene import SERVICE
 
 SLOTS = {'b1': 4, 'b2': 4}
@@ -41,6 +43,11 @@
     return SlotWant(service=SERVICE, lanes=lanes, served={}, waited_ms=1)
 
 
+def grants_of(sent: Outgoing) -> list[str]:
+    """Return the VMs to which the dealer lent slots."""
+    return [name for name, each in sent if isinstance(each, SlotGrant)]
+
+
 class Holders:
     """Track what the dealer lent, as naive counters."""
 
@@ -71,6 +78,36 @@
 class DealerTest(testtools.TestCase):
     """Test which slots are lent."""
 
+    def test_slots_of_frozen_holder_are_lent(self) -> None:
+        """A frozen VM holds the only slot and answers no recall."""
+        dealer = Dealer(SERVICE, collecting_until=0)
+        dealer.adjust_members(('vm-a', 'vm-b'), 0)
+        dealer.on_want('vm-a', make_want(1), 0)
+        dealer.adjust_slots({'b1': 1}, 0)
+        sent = dealer.on_want('vm-b', make_want(1), 1)
+        self.assertEqual([], grants_of(sent))
+        early = dealer.tick(1 + HOLDER_SILENT_AFTER_S)
+        self.assertEqual([], grants_of(early))
+        late = dealer.tick(1.01 + HOLDER_SILENT_AFTER_S)
+        self.assertEqual(['vm-b'], grants_of(late))
+        # It wakes: its slot counts again, so one of the two is recalled.
+        held = SlotsHeld(service=SERVICE, backends=['b1'], sequence=1)
+        woken = dealer.on_held('vm-a', held, 3)
+        self.assertIn('vm-a', [name for name, _ in woken])
+
+    def test_slots_of_busy_holder_are_kept(self) -> None:
+        """A VM whose slots are in use answers recalls and keeps them."""
+        dealer = Dealer(SERVICE, collecting_until=0)
+        dealer.adjust_members(('vm-a', 'vm-b'), 0)
+        dealer.on_want('vm-a', make_want(1), 0)
+        dealer.adjust_slots({'b1': 1}, 0)
+        held = SlotsHeld(service=SERVICE, backends=['b1'], sequence=1)
+        sent = dealer.on_want('vm-b', make_want(1), 1)
+        for step in range(1, 20):
+            sent += dealer.on_held('vm-a', held, 1 + step * REPORT_INTERVAL_S)
+            sent += dealer.tick(1 + step * REPORT_INTERVAL_S)
+        self.assertEqual([], grants_of(sent))
+
     def test_order_of_parking_is_reproducible(self) -> None:
         """Regression: parking order differed between processes.
 
