Let the soak play answers without end, and judge losses, memory and exits

The soak also judges connections that end without an answer after a server began to run the request, unless the gateway was frozen or killed, or a planned stop had used five sixths of its grace.

--- a/wagtailfork/cli/soak.py
+++ b/wagtailfork/cli/soak.py
@@ -16,6 +16,7 @@
 from ..soak.record import Record
 
 EXIT_BROKEN = 1
+_MB = 1048576
 
 
 @click.command()
@@ -76,10 +77,9 @@
         folder = pathlib.Path(name)
         record = asyncio.run(Deployment(plan, folder).run())
         _print_report(plan, record)
-        broken = bool(record.broken() or record.unasked)
-        if broken and keep is not None:
+        if not record.holds and keep is not None:
             shutil.copytree(folder, keep, dirs_exist_ok=True)
-    sys.exit(EXIT_BROKEN if broken else 0)
+    sys.exit(0 if record.holds else EXIT_BROKEN)
 
 
 def _print_report(plan: SoakPlan, record: Record) -> None:
@@ -93,6 +93,9 @@
             'answered': record.answered(),
             'broken': len(record.broken()),
             'unasked': len(record.unasked),
+            'excessive': len(record.excessive),
+            'ended': len(record.ended),
+            'peak_mb': record.peak_bytes // _MB,
         },
     )
     _print_counts('answers', record.answers)
--- a/wagtailfork/soak/answers.py
+++ b/wagtailfork/soak/answers.py
@@ -7,7 +7,8 @@
 
 # The answers of each group with their weights. ``bare`` servers run what they
 # refuse and do not state that they did not; the statement of ``contrary`` ones
-# contradicts their status, or they deny it.
+# contradicts their status, or they deny it. ``endless`` ones send bytes until
+# their caller closes.
 GROUPS: Final[Mapping[str, Mapping[str, float]]] = {
     'stated': {
         'refuse': 3,
@@ -32,6 +33,16 @@
         'unsized': 1,
     },
     'bare': {'bare_503': 2, 'bare_429': 1, 'bare_408': 1},
+    'endless': {
+        'endless_head': 1,
+        'endless_headers': 1,
+        'endless_interim': 1,
+        'endless_lines': 1,
+        'endless_garbage': 1,
+        'endless_body': 1,
+        'endless_chunks': 1,
+        'endless_failure': 1,
+    },
     'contrary': {
         'ran_500_stated': 1,
         'ran_504_stated': 1,
--- a/wagtailfork/soak/callers.py
+++ b/wagtailfork/soak/callers.py
@@ -62,7 +62,10 @@
         try:
             async with asyncio.timeout(seen.deadline_s + PATIENCE_S):
                 await self._exchange(conn, seen)
-        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        except TimeoutError:
+            self._close()
+        except (OSError, asyncio.IncompleteReadError):
+            seen.cut_s = now_s()
             self._close()
         if self.rng.random() > KEEP_SHARE:
             self._close()
--- a/wagtailfork/soak/deployment.py
+++ b/wagtailfork/soak/deployment.py
@@ -19,6 +19,8 @@
 from .callers import LONGEST_DEADLINE_S, PATIENCE_S, Caller
 from .disruptions import Disruptor
 from .gateways import GatewayProcess
+from .losses import is_lost
+from .memory import MemoryWatch
 from .plan import REGIONS, SERVICES, SoakPlan
 from .record import Record
 from .servers import SoakServer
@@ -115,16 +117,28 @@
         if self.plan.disrupted:
             disruptor = self._make_disruptor(rng)
             tasks.append(asyncio.create_task(disruptor.run(until_s)))
+        memory = MemoryWatch(self.gateways)
+        watch = asyncio.create_task(memory.run())
         await asyncio.sleep(self.plan.seconds)
-        await asyncio.wait(tasks, timeout=LONGEST_DEADLINE_S + PATIENCE_S)
-        for task in tasks:
-            task.cancel()
-        for failed in await asyncio.gather(*tasks, return_exceptions=True):
-            if isinstance(failed, Exception):
-                raise failed
+        await _end_tasks(tasks)
         for gateway in self.gateways:
             gateway.send_signal(signal.SIGCONT)
         await asyncio.sleep(SETTLE_S)
+        watch.cancel()
+        self._record_processes(memory)
+
+    def _record_processes(self, memory: MemoryWatch) -> None:
+        disruptions = {one.address: one.disruptions for one in self.gateways}
+        self.record.lost = [
+            seen
+            for seen in self.record.requests.values()
+            if is_lost(seen, disruptions[seen.gateway])
+        ]
+        self.record.excessive = memory.excessive()
+        self.record.peak_bytes = max(memory.peaks.values(), default=0)
+        self.record.ended = [
+            one.vm for one in self.gateways if one.ended_by_itself
+        ]
 
     def _addresses(self) -> list[str]:
         return [one.address for one in self.gateways]
@@ -172,6 +186,16 @@
         self.store.put(CONFIG_TOPIC, 'config', raw)
 
 
+async def _end_tasks(tasks: 'list[asyncio.Task[None]]') -> None:
+    """Let the last requests end; raise what a task raised."""
+    await asyncio.wait(tasks, timeout=LONGEST_DEADLINE_S + PATIENCE_S)
+    for task in tasks:
+        task.cancel()
+    for failed in await asyncio.gather(*tasks, return_exceptions=True):
+        if isinstance(failed, Exception):
+            raise failed
+
+
 async def _wait_ready(gateway: GatewayProcess) -> None:
     while not await gateway.is_ready():
         await asyncio.sleep(READY_POLL_S)
--- a/wagtailfork/soak/disruptions.py
+++ b/wagtailfork/soak/disruptions.py
@@ -10,7 +10,8 @@
 
 from ..core.clock import now_s
 from ..standin.keyed_store import KeyedStoreStandin
-from .gateways import GRACE_S, RESTART_DELAY_S, GatewayProcess
+from .gateways import RESTART_DELAY_S, GatewayProcess
+from .losses import GRACE_S
 from .record import Record
 from .servers import SoakServer
 
@@ -78,6 +79,7 @@
 
     async def _freeze_for(self, seconds: float) -> None:
         gateway = self.rng.choice(self.gateways)
+        gateway.disruptions.add_trouble(now_s(), now_s() + seconds)
         gateway.send_signal(signal.SIGSTOP)
         await asyncio.sleep(seconds)
         gateway.send_signal(signal.SIGCONT)
@@ -86,6 +88,7 @@
         gateway = self._take_gateway()
         if gateway is None:
             return
+        gateway.disruptions.add_trouble(now_s(), now_s() + 2 * GRACE_S)
         gateway.send_signal(signal.SIGSTOP)
         await asyncio.sleep(self.rng.random())
         gateway.send_signal(signal.SIGTERM)
@@ -97,6 +100,7 @@
         gateway = self._take_gateway()
         if gateway is None:
             return
+        gateway.disruptions.add_trouble(now_s(), now_s())
         gateway.send_signal(signal.SIGKILL)
         await self._start_again(gateway)
 
--- a/wagtailfork/soak/gateways.py
+++ b/wagtailfork/soak/gateways.py
@@ -12,15 +12,17 @@
 
 import attrs
 
+from ..core.clock import now_s
 from ..tests.rig_tools import free_port
+from .losses import GRACE_S, Disruptions
 from .plan import REGIONS
 from .wire import read_head
 
-GRACE_S: Final = 6.0
 RESTART_DELAY_S: Final = 0.3
 POLL_S: Final = 0.05
 READY_TIMEOUT_S: Final = 1.0
 RETRIES: Final = {'ratio': 0.2, 'slack': 56, 'window_s': 10}
+_ENDING: Final = frozenset((signal.SIGTERM, signal.SIGKILL))
 _LOG_LINES_PER_S: Final = 2000
 
 
@@ -42,6 +44,8 @@
     directory_address: str = attrs.field(factory=_address)
     fleet_address: str = attrs.field(factory=_address)
     starts: int = 0
+    disruptions: Disruptions = attrs.field(factory=Disruptions)
+    ending: bool = False  # it was told to end, or was killed
     _process: 'subprocess.Popen[bytes] | None' = None
 
     def start(self) -> None:
@@ -56,6 +60,7 @@
         if self.checkout:
             env['PYTHONPATH'] = self.checkout
         self.starts += 1
+        self.ending = False
         with (self.folder / f'{self.vm}.log').open('ab') as log:
             self._process = subprocess.Popen(  # noqa: S603
                 [
@@ -77,6 +82,11 @@
         """Return whether the process has not ended."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def ended_by_itself(self) -> bool:
+        """Return whether the process ended although nobody ended it."""
+        return self.starts > 0 and not self.running and not self.ending
+
     @property
     def pid(self) -> int:
         """Return the id of the process, 0 before the first start."""
@@ -98,6 +108,9 @@
     def send_signal(self, signum: signal.Signals) -> None:
         """Send a signal to the process, if it has not ended."""
         if self._process is not None and self.running:
+            self.ending = self.ending or signum in _ENDING
+            if signum == signal.SIGTERM:
+                self.disruptions.stops.append(now_s())
             self._process.send_signal(signum)
 
     def end(self) -> None:
--- a/wagtailfork/soak/plays.py
+++ b/wagtailfork/soak/plays.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from typing import Final
 
-from . import refusals, runs
+from . import endless, refusals, runs
 from .answers import SERVE
 from .reply import STATED, Play
 
@@ -33,5 +33,13 @@
     'ran_500_stated': runs.run_and_say('500 Internal Server Error', STATED),
     'ran_504_stated': runs.run_and_say('504 Gateway Timeout', STATED),
     'ran_503_denied': runs.run_and_say('503 Full', 'Not-Executed: 0\r\n'),
+    'endless_head': endless.endless_head,
+    'endless_headers': endless.endless_headers,
+    'endless_interim': endless.endless_interim,
+    'endless_lines': endless.endless_lines,
+    'endless_garbage': endless.endless_garbage,
+    'endless_body': endless.endless_body,
+    'endless_chunks': endless.endless_chunks,
+    'endless_failure': endless.endless_failure,
     'ran_with_trailer': runs.serve_with_trailer,
 }
--- a/wagtailfork/soak/record.py
+++ b/wagtailfork/soak/record.py
@@ -29,6 +29,8 @@
     status: int = NO_ANSWER
     answered_s: float = 0
     left: bool = False  # the caller closed its connection first
+    cut_s: float = 0  # when the connection ended without an answer
+    endless: bool = False  # a server sent bytes without end
     fault: str = ''  # of the answer
 
     @property
@@ -70,7 +72,13 @@
     answers: Counter[str] = attrs.field(factory=Counter)
     plays: Counter[str] = attrs.field(factory=Counter)
     disruptions: Counter[str] = attrs.field(factory=Counter)
+    lost: list[RequestRecord] = attrs.field(factory=list)
     unasked: list[str] = attrs.field(factory=list)
+    # Resident bytes of gateways beyond the memory of a small VM, and the most.
+    excessive: dict[str, int] = attrs.field(factory=dict)
+    peak_bytes: int = 0
+    # Gateways that ended although nobody ended them.
+    ended: list[str] = attrs.field(factory=list)
 
     def count_answer(self, answer: Answer) -> None:
         """Count an answer that a server sent."""
@@ -84,6 +92,17 @@
             return
         seen.runs.append((at_s, server))
 
+    @property
+    def holds(self) -> bool:
+        """Return whether no rule was broken."""
+        found = (
+            self.broken(),
+            self.unasked,
+            self.excessive,
+            self.ended,
+        )
+        return not any(found)
+
     def statuses(self) -> Counter[str]:
         """Count the requests by kind and status, 0 without an answer."""
         return Counter(
@@ -96,7 +115,7 @@
 
     def broken(self) -> list[tuple[str, RequestRecord]]:
         """Return each request that broke a rule, with the rule."""
-        found = []
+        found = [('LOST', seen) for seen in self.lost]
         for seen in self.requests.values():
             rule = seen.broken_rule()
             if rule:
--- a/wagtailfork/soak/reply.py
+++ b/wagtailfork/soak/reply.py
@@ -2,12 +2,23 @@
 
 import asyncio
 import random
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from typing import Final, Protocol
 
+_NO_LINGER: Final = struct.pack('ii', 1, 0)
 STATED: Final = 'Not-Executed: 1\r\n'
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection; without the option an abort ends it in order."""
+    sock = writer.get_extra_info('socket')
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    writer.transport.abort()
+
+
 class Reply(Protocol):
     """One request at a server, and the connection for its answer."""
 
@@ -24,6 +35,9 @@
     def body(self) -> bytes:
         """Return the whole body of a success."""
 
+    def mark_endless(self) -> None:
+        """Record that the answer will have no end."""
+
     def load(self) -> str:
         """Return the header with the load of the server."""
 
--- a/wagtailfork/soak/runs.py
+++ b/wagtailfork/soak/runs.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Final
 
-from .reply import Play, Reply, render_head, render_success
+from .reply import Play, Reply, render_head, render_success, reset
 
 _COPY_DELAY_S: Final = 0.06
 _MAX_LATE_S: Final = 3.0
@@ -34,7 +34,7 @@
 async def lose(reply: Reply) -> None:
     """Run the request and reset the connection."""
     await reply.run()
-    reply.writer.transport.abort()
+    reset(reply.writer)
 
 
 async def stay_silent(reply: Reply) -> None:
--- a/wagtailfork/soak/servers.py
+++ b/wagtailfork/soak/servers.py
@@ -11,6 +11,7 @@
 from .answers import Answer, make_body
 from .plays import PLAYS
 from .record import Record
+from .reply import reset
 from .wire import Head, read_body, read_head
 
 SLOTS: Final = 4
@@ -55,6 +56,11 @@
             seen.bodies.add(body)
         return body
 
+    def mark_endless(self) -> None:
+        seen = self.server.record.requests.get(self.request_id)
+        if seen is not None:
+            seen.endless = True
+
     def load(self) -> str:
         return self.server.load()
 
@@ -92,7 +98,7 @@
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
-            writer.transport.abort()
+            reset(writer)
 
     def entry(self) -> dict[str, object]:
         """Return the registration entry."""
--- a/wagtailfork/soak/tests/test_soak.py
+++ b/wagtailfork/soak/tests/test_soak.py
@@ -33,6 +33,8 @@
         record = play(plan)
         self.assertEqual([], record.broken())
         self.assertEqual([], record.unasked)
+        self.assertEqual({}, record.excessive)
+        self.assertEqual([], record.ended)
         for kind in ('stated/named/reused/not_run', '503/unstated'):
             count = sum(
                 found for key, found in record.answers.items() if kind in key
