--- a/wagtailfork/gateway/tests/test_refusals.py
+++ b/wagtailfork/gateway/tests/test_refusals.py
@@ -64,6 +64,20 @@
     writer.write(render_response(req, extra='Not-Executed: 1\r\n'))
 
 
+async def refuse_then_misdirect(
+    backend: ScriptedBackend, req: ReceivedRequest, writer: Writer
+) -> None:
+    """Refuse the first request, then send a 421 that names no request."""
+    if len(backend.arrivals) == 1:
+        writer.write(
+            render_response(req, b'', '503 Full', 'Not-Executed: 1\r\n')
+        )
+        return
+    backend.runs.append(req)
+    writer.write(b'HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n')
+    writer.write(render_response(req))
+
+
 async def refuse_twice(
     backend: ScriptedBackend, req: ReceivedRequest, writer: Writer
 ) -> None:
@@ -149,6 +163,19 @@
         self.assertEqual(503, response.status)
         self.assertEqual([], rig.runs())
 
+    def test_unnamed_misdirection_refuses_no_other(self) -> None:
+        """A 421 without an id on a kept connection refuses no payment."""
+        run_scenario(self._pay_after_misdirection)
+
+    async def _pay_after_misdirection(self, rig: Rig) -> None:
+        await rig.start(backends=1)
+        rig.backends['b0'].script = refuse_then_misdirect
+        refused = await rig.call('/pay/1', 'r1', b'x')
+        self.assertEqual(503, refused.status)
+        paid = await rig.call('/pay/2', 'r2', b'x')
+        self.assertEqual(['r2'], rig.runs())
+        self.assertNotIn(paid.status, PROMISES)
+
     async def _pay_unstated(
         self,
         rig: Rig,
