Judge DRAIN, CONFIG and ROUTE in the soak

Servers say that they leave, serve on and end; configurations move payments between two services. `--disruptions` names kinds, since a store in trouble excuses most of a run.

--- a/wagtailfork/cli/soak.py
+++ b/wagtailfork/cli/soak.py
@@ -48,6 +48,11 @@
     show_default=True,
     help='Freeze, kill, stop and reload gateways, crash servers.',
 )
+@click.option(
+    '--disruptions',
+    default='',
+    help='Kinds of disruptions, separated by commas; default: all.',
+)
 @click.option(
     '--checkout',
     default='',
@@ -59,20 +64,26 @@
     type=click.Path(file_okay=False),
     help='Folder for the logs of the gateways if a rule is broken.',
 )
-def soak(keep: str | None, answers: str, **options: object) -> None:
+def soak(
+    keep: str | None, answers: str, disruptions: str, **options: object
+) -> None:
     """Run gateway processes against faulty stand-ins and check the promises.
 
     The verdict rests only on what callers and backend servers saw. Exit
     status: 0 all rules held, 1 a rule was broken.
     """
-    groups = tuple(name for name in answers.split(',') if name)
+    groups = _split(answers)
     unknown = set(groups) - set(GROUPS)
     if unknown:
         raise click.BadParameter(
             f'unknown groups: {", ".join(sorted(unknown))}',
             param_hint='--answers',
         )
-    plan = SoakPlan(answers=groups, **options)  # type: ignore[arg-type]
+    plan = SoakPlan(
+        answers=groups,
+        disruptions=_split(disruptions),
+        **options,  # type: ignore[arg-type]
+    )
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
         record = asyncio.run(Deployment(plan, folder).run())
@@ -82,6 +93,10 @@
     sys.exit(0 if record.holds else EXIT_BROKEN)
 
 
+def _split(text: str) -> tuple[str, ...]:
+    return tuple(name for name in text.split(',') if name)
+
+
 def _print_report(plan: SoakPlan, record: Record) -> None:
     _print_line(
         'soak',
@@ -91,6 +106,7 @@
             'gateways': plan.gateways,
             'sent': len(record.requests),
             'answered': record.answered(),
+            'in_touch': record.judged_in_touch,
             'broken': len(record.broken()),
             'unasked': len(record.unasked),
             'excessive': len(record.excessive),
@@ -111,7 +127,9 @@
                 'status': seen.status,
                 'sent_s': round(seen.sent_s, 3),
                 'answered_s': round(seen.answered_s, 3),
-                'runs': [(round(at, 3), server) for at, server in seen.runs],
+                'arrivals': [str(each) for each in seen.arrivals],
+                'runs': [str(each) for each in seen.runs],
+                'cut_s': round(seen.cut_s, 3),
                 'fault': seen.fault,
             },
         )
--- a/wagtailfork/soak/deployment.py
+++ b/wagtailfork/soak/deployment.py
@@ -19,11 +19,11 @@
 from .callers import LONGEST_DEADLINE_S, PATIENCE_S, Caller
 from .disruptions import Disruptor
 from .gateways import GatewayProcess
-from .losses import is_lost
 from .memory import MemoryWatch
-from .plan import REGIONS, SERVICES, SoakPlan
+from .plan import PAYMENT_SERVICES, REGIONS, SERVICES, SoakPlan
 from .record import Record
 from .servers import SoakServer
+from .timed_rules import TimedRules
 
 CONFIG_TOPIC: Final = 'keyed.op'
 SERVERS_TOPIC: Final = 'keyed.servers'
@@ -32,7 +32,7 @@
 ROUTE_TIMEOUT_MS: Final = 9000
 OBJECTIVE_MS: Final = 1500
 SETTLE_S: Final = 2.0  # after the last request, for runs that come late
-_KIND_BY_SERVICE: Final = {'stock': 'safe', 'pay': 'unsafe', 'snap': 'upload'}
+_TYPES: Final = {'stock': 'safe', 'pay': 'unsafe', 'snap': 'upload'}
 _PREFIXES: Final = {'stock': '/look/', 'pay': '/pay/', 'snap': '/snap/'}
 
 
@@ -46,6 +46,7 @@
     store: KeyedStoreStandin = attrs.field(factory=KeyedStoreStandin)
     servers: list[SoakServer] = attrs.field(factory=list)
     gateways: list[GatewayProcess] = attrs.field(factory=list)
+    rules: TimedRules = attrs.field(factory=TimedRules)
     _version: int = 0
 
     async def run(self) -> Record:
@@ -129,11 +130,8 @@
 
     def _record_processes(self, memory: MemoryWatch) -> None:
         disruptions = {one.address: one.disruptions for one in self.gateways}
-        self.record.lost = [
-            seen
-            for seen in self.record.requests.values()
-            if is_lost(seen, disruptions[seen.gateway])
-        ]
+        self.record.late = self.rules.judge(self.record.requests, disruptions)
+        self.record.judged_in_touch = self.rules.judged
         self.record.excessive = memory.excessive()
         self.record.peak_bytes = max(memory.peaks.values(), default=0)
         self.record.ended = [
@@ -155,6 +153,8 @@
                 SERVERS_TOPIC, server.name
             ),
             change_configuration=self._change_configuration,
+            kinds=self.plan.disruptions,
+            store_disruptions=self.rules.store,
         )
 
     def _register(self, server: SoakServer) -> None:
@@ -163,15 +163,18 @@
 
     def _change_configuration(self) -> None:
         self._version += 1
+        payments = PAYMENT_SERVICES[self._version % len(PAYMENT_SERVICES)]
+        self.rules.versions.append((now_s(), payments))
+        services = {'stock': 'stock', 'pay': payments, 'snap': 'snap'}
         routes = {
-            service: make_route(
-                pathPrefix=_PREFIXES[service],
-                type=_KIND_BY_SERVICE[service],
+            name: make_route(
+                pathPrefix=_PREFIXES[name],
+                type=_TYPES[name],
                 service=service,
                 timeoutMs=ROUTE_TIMEOUT_MS,
                 targetLatencyMs=OBJECTIVE_MS,
             )
-            for service in SERVICES
+            for name, service in services.items()
         }
         document = {
             'version': self._version,
--- a/wagtailfork/soak/disruptions.py
+++ b/wagtailfork/soak/disruptions.py
@@ -11,7 +11,7 @@
 from ..core.clock import now_s
 from ..standin.keyed_store import KeyedStoreStandin
 from .gateways import RESTART_DELAY_S, GatewayProcess
-from .losses import GRACE_S
+from .excuses import GRACE_S, Disruptions
 from .record import Record
 from .servers import SoakServer
 
@@ -23,6 +23,7 @@
 MAX_BRIEF_FREEZE_S: Final = 0.15
 MAX_OUTAGE_S: Final = 3.0
 HANG_SHARE: Final = 0.5  # of the outages; in the others the store refuses
+LEAVING_S: Final = 6.0  # from a server's word that it leaves to its end
 REUSE_S: Final = 2.0  # before an address gets another server
 UNAVAILABLE: Final = 503
 
@@ -41,6 +42,8 @@
     register: Register
     unregister: Register
     change_configuration: Callable[[], None]
+    kinds: tuple[str, ...]  # empty: all
+    store_disruptions: Disruptions
     _busy: set[str] = attrs.field(factory=set)
 
     async def run(self, until_s: float) -> None:
@@ -50,9 +53,10 @@
 
     async def _series(self, until_s: float) -> None:
         kinds = self._kinds()
+        names = self.kinds or tuple(kinds)
         while now_s() < until_s:
             await asyncio.sleep(self.rng.expovariate(1 / GAP_S))
-            name = self.rng.choice(list(kinds))
+            name = self.rng.choice(names)
             self.record.disruptions[name] += 1
             await kinds[name]()
 
@@ -66,6 +70,7 @@
             'reload': self._reload,
             'crash_server': self._crash_server,
             'reuse_address': self._reuse_address,
+            'drain_server': self._drain_server,
             'store': self._disrupt_store,
             'configuration': self._change_configuration,
         }
@@ -142,6 +147,24 @@
         self.register(server)
         self._busy.discard(server.name)
 
+    async def _drain_server(self) -> None:
+        """Let a server say that it leaves, serve on, end and start again."""
+        server = self.rng.choice(self.servers)
+        if server.name in self._busy:
+            return
+        self._busy.add(server.name)
+        server.leaving_since_s = now_s()
+        self.register(server)
+        await asyncio.sleep(LEAVING_S)
+        server.crash()
+        self.unregister(server)
+        await asyncio.sleep(REUSE_S)
+        server.born += 1
+        server.leaving_since_s = None
+        await server.start()
+        self.register(server)
+        self._busy.discard(server.name)
+
     async def _reuse_address(self) -> None:
         """Let two servers of different services exchange their addresses."""
         one, other = self.rng.sample(self.servers, 2)
@@ -163,11 +186,13 @@
 
     async def _disrupt_store(self) -> None:
         faults = self.store.faults
+        outage_s = self.rng.random() * MAX_OUTAGE_S
+        self.store_disruptions.add_trouble(now_s(), now_s() + outage_s)
         if self.rng.random() < HANG_SHARE:
             faults.hang = True
         else:
             faults.status = UNAVAILABLE
-        await asyncio.sleep(self.rng.random() * MAX_OUTAGE_S)
+        await asyncio.sleep(outage_s)
         faults.hang = False
         faults.status = 0
 
--- a/wagtailfork/soak/losses.py
+++ b/wagtailfork/soak/excuses.py
@@ -1,4 +1,4 @@
-"""Whether a connection that ended without an answer was lost by a gateway."""
+"""Disruptions of processes, and what they excuse."""
 
 from collections.abc import Sequence
 from typing import Final
@@ -34,12 +34,20 @@
             for begun_s, ended_s in self.troubles
         )
 
+    def in_touch(self, at_s: float) -> bool:
+        """Return whether nothing was done to it shortly before."""
+        stopped = any(
+            each <= at_s < each + GRACE_S + SETTLED_S for each in self.stops
+        )
+        return not stopped and not self.is_troubled(at_s, at_s)
+
 
 def is_lost(seen: RequestRecord, disruptions: Disruptions) -> bool:
     """Return whether a request was cut that the gateway had passed on.
 
+    >>> from .record import Visit
     >>> seen = RequestRecord('r1', 'pay', 'a:1', sent_s=10, deadline_s=2)
-    >>> seen.runs.append((10.1, 'b0'))
+    >>> seen.runs.append(Visit(10.1, 'b0'))
     >>> seen.cut_s = 11
     >>> is_lost(seen, Disruptions()), is_lost(seen, Disruptions([(9, 12)]))
     (True, False)
--- a/wagtailfork/soak/gateways.py
+++ b/wagtailfork/soak/gateways.py
@@ -14,7 +14,7 @@
 
 from ..core.clock import now_s
 from ..tests.rig_tools import free_port
-from .losses import GRACE_S, Disruptions
+from .excuses import GRACE_S, Disruptions
 from .plan import REGIONS
 from .wire import read_head
 
@@ -60,6 +60,7 @@
         if self.checkout:
             env['PYTHONPATH'] = self.checkout
         self.starts += 1
+        self.disruptions.add_trouble(now_s(), now_s())
         self.ending = False
         with (self.folder / f'{self.vm}.log').open('ab') as log:
             self._process = subprocess.Popen(  # noqa: S603
--- a/wagtailfork/soak/plan.py
+++ b/wagtailfork/soak/plan.py
@@ -7,7 +7,9 @@
 MAX_GATEWAYS: Final = 150  # processes
 MAX_SECONDS: Final = 600.0
 REGIONS: Final = {'a': 'south', 'b': 'south', 'c': 'north', 'd': 'north'}
-SERVICES: Final = ('stock', 'pay', 'snap')
+SERVICES: Final = ('stock', 'pay', 'snap', 'spare')
+# Payments go to one of these, by the configuration in force.
+PAYMENT_SERVICES: Final = ('pay', 'spare')
 HOST: Final = 'shop.example'
 
 
@@ -29,4 +31,5 @@
     # Groups of answers, see ``answers.GROUPS``.
     answers: tuple[str, ...] = ('faulty', 'stated')
     disrupted: bool = True
+    disruptions: tuple[str, ...] = ()  # kinds; empty: all
     checkout: str = ''  # of the build to run; empty: the installed one
--- a/wagtailfork/soak/record.py
+++ b/wagtailfork/soak/record.py
@@ -14,6 +14,16 @@
 MAX_QUOTED_BYTES: Final = 40
 
 
+@attrs.frozen
+class Visit:
+    """Hold that a request reached a server, or began to run there."""
+
+    at_s: float
+    server: str
+    service: str = ''
+    leaving_since_s: float | None = None  # when the server said that it leaves
+
+
 @attrs.define(eq=False)
 class RequestRecord:
     """Hold what was seen of one request."""
@@ -23,7 +33,8 @@
     gateway: str
     sent_s: float
     deadline_s: float
-    runs: list[tuple[float, str]] = attrs.field(factory=list)  # time, server
+    arrivals: list[Visit] = attrs.field(factory=list)
+    runs: list[Visit] = attrs.field(factory=list)
     # Whole bodies of the successes that servers sent.
     bodies: set[bytes] = attrs.field(factory=set)
     status: int = NO_ANSWER
@@ -72,7 +83,9 @@
     answers: Counter[str] = attrs.field(factory=Counter)
     plays: Counter[str] = attrs.field(factory=Counter)
     disruptions: Counter[str] = attrs.field(factory=Counter)
-    lost: list[RequestRecord] = attrs.field(factory=list)
+    # Requests that broke a rule which holds only for gateways in touch.
+    late: list[tuple[str, RequestRecord]] = attrs.field(factory=list)
+    judged_in_touch: int = 0
     unasked: list[str] = attrs.field(factory=list)
     # Resident bytes of gateways beyond the memory of a small VM, and the most.
     excessive: dict[str, int] = attrs.field(factory=dict)
@@ -84,13 +97,19 @@
         """Count an answer that a server sent."""
         self.answers[str(answer)] += 1
 
-    def record_run(self, request_id: str, at_s: float, server: str) -> None:
-        """Record that a server began to run a request."""
+    def record_arrival(self, request_id: str, visit: Visit) -> None:
+        """Record that a request reached a server."""
         seen = self.requests.get(request_id)
         if seen is None:
             self.unasked.append(request_id)
             return
-        seen.runs.append((at_s, server))
+        seen.arrivals.append(visit)
+
+    def record_run(self, request_id: str, visit: Visit) -> None:
+        """Record that a server began to run a request."""
+        seen = self.requests.get(request_id)
+        if seen is not None:
+            seen.runs.append(visit)
 
     @property
     def holds(self) -> bool:
@@ -115,7 +134,7 @@
 
     def broken(self) -> list[tuple[str, RequestRecord]]:
         """Return each request that broke a rule, with the rule."""
-        found = [('LOST', seen) for seen in self.lost]
+        found = list(self.late)
         for seen in self.requests.values():
             rule = seen.broken_rule()
             if rule:
--- a/wagtailfork/soak/servers.py
+++ b/wagtailfork/soak/servers.py
@@ -10,7 +10,7 @@
 from ..core.clock import now_s
 from .answers import Answer, make_body
 from .plays import PLAYS
-from .record import Record
+from .record import Record, Visit
 from .reply import reset
 from .wire import Head, read_body, read_head
 
@@ -34,8 +34,7 @@
 
     async def run(self) -> None:
         self.ran = True
-        record = self.server.record
-        record.record_run(self.request_id, now_s(), self.server.name)
+        self.server.record.record_run(self.request_id, self.server.visit())
         await asyncio.sleep(self.rng.expovariate(1 / MEAN_WORK_S))
 
     def sent(self, status: int, *, stated: bool, named: bool) -> None:
@@ -78,6 +77,7 @@
     weights: dict[str, float]
     born: int = 1
     sequence: int = 0
+    leaving_since_s: float | None = None
     running: int = 0
     waiting: int = 0
     _slots: asyncio.Semaphore = attrs.field(
@@ -109,12 +109,16 @@
             'zone': self.zone,
             'version': 'v1',
             'capacity': SLOTS,
-            'state': 'ready',
+            'state': 'ready' if self.leaving_since_s is None else 'draining',
             'warmupLeftMs': 0,
             'seq': self.sequence,
             'born': self.born,
         }
 
+    def visit(self) -> Visit:
+        """Return a visit of a request now."""
+        return Visit(now_s(), self.name, self.service, self.leaving_since_s)
+
     def load(self) -> str:
         """Return the header with the load."""
         return f'Server-Load: {self.running},{self.waiting},{SLOTS}\r\n'
@@ -153,6 +157,8 @@
                 'Content-Length: 0\r\n\r\n'.encode()
             )
             return
+        if request_id:
+            self.record.record_arrival(request_id, self.visit())
         early = self._answers_early(head)
         if not early:
             await read_body(reader, head)
--- a/wagtailfork/soak/tests/test_record.py
+++ b/wagtailfork/soak/tests/test_record.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from ..record import RequestRecord
+from ..record import RequestRecord, Visit
 
 
 def make_record(kind: str = 'pay') -> RequestRecord:
@@ -23,7 +23,7 @@
         """A payment that ran is answered with each promise."""
         for status in (408, 421, 429, 503):
             seen = make_record()
-            seen.runs.append((1, 'b0'))
+            seen.runs.append(Visit(1, 'b0'))
             seen.check_answer(status, {}, b'')
             self.assertEqual('REFUSED', seen.broken_rule())
 
@@ -31,7 +31,7 @@
         """A payment that ran may be answered with a failure."""
         for status in (500, 502, 504):
             seen = make_record()
-            seen.runs.append((1, 'b0'))
+            seen.runs.append(Visit(1, 'b0'))
             seen.check_answer(status, {}, b'')
             self.assertEqual('', seen.broken_rule())
 
@@ -39,7 +39,7 @@
         """A payment runs twice; a look-up may."""
         for kind, rule in (('pay', 'TWICE'), ('snap', 'TWICE'), ('look', '')):
             seen = make_record(kind)
-            seen.runs.extend([(1, 'b0'), (2, 'b1')])
+            seen.runs.extend([Visit(1, 'b0'), Visit(2, 'b1')])
             self.assertEqual(rule, seen.broken_rule())
 
     def test_answer_of_another_request(self) -> None:
--- /dev/null
+++ b/wagtailfork/soak/timed_rules.py
@@ -0,0 +1,94 @@
+"""Rules that hold for gateways in touch, some time after a change."""
+
+from collections.abc import Mapping
+from typing import Final
+
+import attrs
+
+from .excuses import Disruptions, is_lost
+from .record import RequestRecord, Visit
+
+DRAIN_S: Final = 2.5  # after a server said that it leaves
+CONFIG_APPLY_S: Final = 2.5  # after a configuration was acknowledged
+
+
+@attrs.define(eq=False)
+class TimedRules:
+    """Judge requests by what was in force when they were sent."""
+
+    store: Disruptions = attrs.field(factory=Disruptions)
+    # Time of each configuration and the service that it sends payments to.
+    versions: list[tuple[float, str]] = attrs.field(factory=list)
+    judged: int = 0  # requests whose gateway was in touch
+
+    def judge(
+        self,
+        requests: Mapping[str, RequestRecord],
+        gateways: Mapping[str, Disruptions],
+    ) -> list[tuple[str, RequestRecord]]:
+        """Return the requests that broke a rule, each with the rule."""
+        found = []
+        for seen in requests.values():
+            rule = self._broken_rule(seen, gateways[seen.gateway])
+            if rule:
+                found.append((rule, seen))
+        return found
+
+    def _broken_rule(self, seen: RequestRecord, gateway: Disruptions) -> str:
+        if is_lost(seen, gateway):
+            return 'LOST'
+        if any(not self._is_served_by(seen, run) for run in seen.runs):
+            return 'ROUTE'
+        calm = gateway.in_touch(seen.sent_s) and self.store.in_touch(
+            seen.sent_s
+        )
+        if not calm:
+            return ''
+        self.judged += 1
+        if any(is_late_arrival(seen, each) for each in seen.arrivals):
+            return 'DRAIN'
+        if any(self._is_outdated(seen, run) for run in seen.runs):
+            return 'CONFIG'
+        return ''
+
+    def _is_served_by(self, seen: RequestRecord, run: Visit) -> bool:
+        """Return whether any configuration sends the request there."""
+        if seen.kind == 'pay':
+            return run.service in {service for _, service in self.versions}
+        return run.service == SERVICE_BY_KIND[seen.kind]
+
+    def _is_outdated(self, seen: RequestRecord, run: Visit) -> bool:
+        """Return whether only an older configuration allows the run.
+
+        >>> rules = TimedRules(versions=[(0, 'pay'), (10, 'spare')])
+        >>> seen = RequestRecord('r1', 'pay', 'a:1', sent_s=12.6, deadline_s=1)
+        >>> rules._is_outdated(seen, Visit(12.7, 'b0', 'pay'))
+        True
+        >>> rules._is_outdated(seen, Visit(12.7, 'b0', 'spare'))
+        False
+        """
+        if seen.kind != 'pay':
+            return False
+        allowed = set()
+        for at_s, service in self.versions:
+            if at_s <= seen.sent_s - CONFIG_APPLY_S:
+                allowed = {service}
+            elif at_s <= run.at_s:
+                allowed.add(service)
+        return run.service not in allowed
+
+
+SERVICE_BY_KIND: Final = {'look': 'stock', 'snap': 'snap'}
+
+
+def is_late_arrival(seen: RequestRecord, arrival: Visit) -> bool:
+    """Return whether a request was sent long after its server left.
+
+    >>> seen = RequestRecord('r1', 'pay', 'a:1', sent_s=10, deadline_s=1)
+    >>> is_late_arrival(seen, Visit(10.1, 'b0', 'pay', 7.4))
+    True
+    >>> is_late_arrival(seen, Visit(10.1, 'b0', 'pay', 7.6))
+    False
+    """
+    since_s = arrival.leaving_since_s
+    return since_s is not None and seen.sent_s > since_s + DRAIN_S
