--- a/wagtailfork/soak/reply.py
+++ b/wagtailfork/soak/reply.py
@@ -1,6 +1,7 @@
 """One request at a backend server, and the answers to it as bytes."""
 
 import asyncio
+import contextlib
 import random
 import socket
 import struct
@@ -14,8 +15,9 @@
 def reset(writer: asyncio.StreamWriter) -> None:
     """Reset a connection; without the option an abort ends it in order."""
     sock = writer.get_extra_info('socket')
-    if sock is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    with contextlib.suppress(OSError):  # it has ended already
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
     writer.transport.abort()
 
 
