--- a/wagtailfork/soak/timed_rules.py
+++ b/wagtailfork/soak/timed_rules.py
@@ -52,7 +52,15 @@
         return ''
 
     def _is_served_by(self, seen: RequestRecord, run: Visit) -> bool:
-        """Return whether any configuration sends the request there."""
+        """Return whether any configuration sends the request there.
+
+        >>> rules = TimedRules(versions=[(0, 'pay')])
+        >>> seen = RequestRecord('r1', 'pay', 'a:1', sent_s=1, deadline_s=1)
+        >>> rules._is_served_by(seen, Visit(1, 'b0', 'pay'))
+        True
+        >>> rules._is_served_by(seen, Visit(1, 'b0', 'stock'))
+        False
+        """
         if seen.kind == 'pay':
             return run.service in {service for _, service in self.versions}
         return run.service == SERVICE_BY_KIND[seen.kind]
