Bound what a log line quotes of a server's answer

A server chooses the id and the statement of its answer, up to 64 KiB each; the new lines on refused and skipped answers quoted them whole. Found by reading the diff; no decision changes.

--- a/wagtailfork/gateway/answer_recorder.py
+++ b/wagtailfork/gateway/answer_recorder.py
@@ -1,5 +1,7 @@
 """Record what backend servers answer, above all what they refuse."""
 
+from typing import Final
+
 import attrs
 
 from ..core.event_log import EventLog
@@ -9,7 +11,8 @@
 from .dialect import ResponseMetadata
 from .meters import AnswerKind, Meters
 
-_NONE = 'none'
+MAX_QUOTED_CHARS: Final = 64  # of what a server sends, in a log line
+_NONE: Final = 'none'
 
 
 @attrs.define(eq=False)
@@ -39,8 +42,8 @@
             id=call.metadata.request_id,
             server=candidate.name,
             status=response.status,
-            statement=metadata.statement or _NONE,
-            named=metadata.request_id or _NONE,
+            statement=_quote(metadata.statement),
+            named=_quote(metadata.request_id),
             first=first,
             attempt=call.sends,
         )
@@ -60,8 +63,8 @@
             id=call.metadata.request_id,
             server=server,
             status=response.status,
-            statement=metadata.statement or _NONE,
-            named=metadata.request_id or _NONE,
+            statement=_quote(metadata.statement),
+            named=_quote(metadata.request_id),
         )
 
     def _count(
@@ -80,3 +83,12 @@
             skipped=skipped,
         )
         self.meters.answers[kind] += 1
+
+
+def _quote(text: str | None) -> str:
+    """Return the start of a text for the log.
+
+    >>> _quote('1'), _quote(None), len(_quote('x' * 60000))
+    ('1', 'none', 64)
+    """
+    return (text or _NONE)[:MAX_QUOTED_CHARS]
