--- a/wagtailfork/gateway/tests/test_refusals.py
+++ b/wagtailfork/gateway/tests/test_refusals.py
@@ -13,6 +13,7 @@
     Writer,
     render_response,
 )
+from ..meters import AnswerKind
 from .rig import LIMIT_S, Rig, run_scenario
 
 PROMISES: Final = (408, 421, 429, 503)
@@ -175,6 +176,14 @@
         paid = await rig.call('/pay/2', 'r2', b'x')
         self.assertEqual(['r2'], rig.runs())
         self.assertNotIn(paid.status, PROMISES)
+        answers = rig.nodes[0].meters.answers
+        misdirection = AnswerKind(
+            status=421, stated=False, named=False, first=False, skipped=True
+        )
+        refusal = AnswerKind(
+            status=503, stated=True, named=True, first=False, skipped=False
+        )
+        self.assertEqual([1, 1], [answers[misdirection], answers[refusal]])
 
     async def _pay_unstated(
         self,
--- a/wagtailfork/gateway/tests/test_traffic.py
+++ b/wagtailfork/gateway/tests/test_traffic.py
@@ -181,5 +181,6 @@
             'wagtailfork_retries_spent{service="stock"} 0',
         ):
             self.assertIn(wanted, page)
+        self.assertRegex(page, 'wagtailfork_answers{.*status="200"} 1')
         self.assertRegex(page, r'wagtailfork_store_calls [1-9]')
         self.assertRegex(page, r'wagtailfork_moved_bytes{reach="domain"} [1-9]')
