--- a/wagtailfork/cli/soak.py
+++ b/wagtailfork/cli/soak.py
@@ -6,12 +6,14 @@
 import sys
 import tempfile
 from collections import Counter
+from collections.abc import Collection
 
 import click
 
 from ..core.event_log import render_pair
 from ..soak.answers import GROUPS
 from ..soak.deployment import Deployment
+from ..soak.disruptions import KINDS
 from ..soak.plan import MAX_GATEWAYS, MAX_SECONDS, SoakPlan
 from ..soak.record import Record
 
@@ -72,16 +74,9 @@
     The verdict rests only on what callers and backend servers saw. Exit
     status: 0 all rules held, 1 a rule was broken.
     """
-    groups = _split(answers)
-    unknown = set(groups) - set(GROUPS)
-    if unknown:
-        raise click.BadParameter(
-            f'unknown groups: {", ".join(sorted(unknown))}',
-            param_hint='--answers',
-        )
     plan = SoakPlan(
-        answers=groups,
-        disruptions=_split(disruptions),
+        answers=_split(answers, GROUPS, '--answers'),
+        disruptions=_split(disruptions, KINDS, '--disruptions'),
         **options,  # type: ignore[arg-type]
     )
     with tempfile.TemporaryDirectory() as name:
@@ -93,8 +88,14 @@
     sys.exit(0 if record.holds else EXIT_BROKEN)
 
 
-def _split(text: str) -> tuple[str, ...]:
-    return tuple(name for name in text.split(',') if name)
+def _split(text: str, known: Collection[str], option: str) -> tuple[str, ...]:
+    names = tuple(name for name in text.split(',') if name)
+    for name in names:
+        if name not in known:
+            raise click.BadParameter(
+                f'{name!r} is none of {", ".join(known)}', param_hint=option
+            )
+    return names
 
 
 def _print_report(plan: SoakPlan, record: Record) -> None:
--- a/wagtailfork/soak/disruptions.py
+++ b/wagtailfork/soak/disruptions.py
@@ -27,6 +27,20 @@
 REUSE_S: Final = 2.0  # before an address gets another server
 UNAVAILABLE: Final = 503
 
+KINDS: Final = (
+    'freeze',
+    'freeze_briefly',
+    'freeze_and_stop',
+    'kill',
+    'stop',
+    'reload',
+    'crash_server',
+    'reuse_address',
+    'drain_server',
+    'store',
+    'configuration',
+)
+
 Register = Callable[[SoakServer], None]
 
 
@@ -53,7 +67,7 @@
 
     async def _series(self, until_s: float) -> None:
         kinds = self._kinds()
-        names = self.kinds or tuple(kinds)
+        names = self.kinds or KINDS
         while now_s() < until_s:
             await asyncio.sleep(self.rng.expovariate(1 / GAP_S))
             name = self.rng.choice(names)
