End the connections of the scripted server with its rig

Cause: the rig closed only the listening socket of a ScriptedBackend. The tasks that asyncio starts for its open connections waited in _read_request until the loop ended and cancelled them; StreamReaderProtocol of that release asks a cancelled task for its exception, which raises.

Now the stand-in ends its open connections itself: it cancels their tasks, which end without an error, and waits for them. The check of the loop's errors is unchanged.

--- a/wagtailfork/gateway/tests/rig.py
+++ b/wagtailfork/gateway/tests/rig.py
@@ -201,12 +201,12 @@
                 await asyncio.sleep(STEP_S)
 
     async def stop(self) -> None:
-        """Cancel all tasks and stop the backend servers."""
+        """Cancel all tasks and end the backend servers."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for backend in self.backends.values():
-            await backend.stop()
+            await backend.end()
 
     def runs(self) -> list[str]:
         """Return the ids of all requests that ran."""
--- a/wagtailfork/standin/scripted_backend.py
+++ b/wagtailfork/standin/scripted_backend.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable
-from typing import Final
+from typing import Any, Final
 
 import attrs
 
@@ -144,6 +144,8 @@
     connections: int = 0
     closed: int = 0
     _server: asyncio.Server | None = None
+    _handlers: set['asyncio.Task[Any]'] = attrs.field(factory=set)
+    _ended: bool = False
 
     @property
     def address(self) -> str:
@@ -171,16 +173,39 @@
         if self._server is not None:
             self._server.close()
 
+    async def end(self) -> None:
+        """Stop listening and end all open connections."""
+        self._ended = True
+        await self.stop()
+        handlers = tuple(self._handlers)
+        for handler in handlers:
+            handler.cancel()
+        await asyncio.gather(*handlers)
+
     async def _handle_connection(
         self, reader: asyncio.StreamReader, writer: Writer
     ) -> None:
+        handler = asyncio.current_task()
+        assert handler is not None  # noqa: S101
         self.connections += 1
+        self._handlers.add(handler)
+        try:
+            await self._serve_requests(reader, writer)
+        except asyncio.CancelledError:
+            if not self._ended:
+                raise
+        finally:
+            self._handlers.discard(handler)
+            self.closed += 1
+            writer.close()
+
+    async def _serve_requests(
+        self, reader: asyncio.StreamReader, writer: Writer
+    ) -> None:
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while True:
                 await self._handle_request(reader, writer)
                 await writer.drain()
-        self.closed += 1
-        writer.close()
 
     async def _handle_request(
         self,
