Log the connection of each send, and count ids that come to one twice

`sent`, `server_refused` and `answer_skipped` now name the local port of the connection, the first two also the request's place on it (`nth`, in place of `first`). `wagtailfork_repeated_ids` counts the sends of an id that their connection has carried before. What is sent and believed is unchanged.

51 tests of http1, explain, refusals and invalid responses pass.

--- a/wagtailfork/gateway/answer_recorder.py
+++ b/wagtailfork/gateway/answer_recorder.py
@@ -29,10 +29,11 @@
         response: BackendResponse,
         metadata: ResponseMetadata,
         *,
-        first: bool,
+        port: int,
+        nth: int,
     ) -> None:
-        """Record an answer; ``first`` is that of its connection."""
-        self._count(response, metadata, first=first)
+        """Record the answer to the nth request of a connection."""
+        self._count(response, metadata, first=nth == 1)
         if not metadata.not_run:
             return
         call.refused_by.append(candidate.name)
@@ -44,7 +45,8 @@
             status=response.status,
             statement=_quote(metadata.statement),
             named=_quote(metadata.request_id),
-            first=first,
+            port=port,
+            nth=nth,
             attempt=call.sends,
         )
 
@@ -54,6 +56,8 @@
         server: str,
         response: BackendResponse,
         metadata: ResponseMetadata,
+        *,
+        port: int,
     ) -> None:
         """Record an answer that belongs to another request."""
         self._count(response, metadata, first=False, skipped=True)
@@ -65,6 +69,7 @@
             status=response.status,
             statement=_quote(metadata.statement),
             named=_quote(metadata.request_id),
+            port=port,
         )
 
     def _count(
--- a/wagtailfork/gateway/sender.py
+++ b/wagtailfork/gateway/sender.py
@@ -43,7 +43,13 @@
     started_s: float
     slowness: float
     full: bool
-    first: bool  # on its connection
+    port: int  # local port of its connection
+    nth: int  # request on its connection, from 1
+
+    @property
+    def first(self) -> bool:
+        """Return whether it is the first request on its connection."""
+        return self.nth == 1
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -135,14 +141,18 @@
             started_s=started_s,
             slowness=candidate.load.slowness(started_s),
             full=_is_full(candidate, started_s),
-            first=not conn.request_count,
+            port=conn.local_port,
+            nth=conn.request_count + 1,
         )
-        self._record_sent(call, candidate, started_s)
+        self._record_sent(call, candidate, copy)
+        if conn.carried.has(call.metadata.request_id):
+            self.answers.meters.repeated_ids += 1
         try:
             response = await conn.exchange(
                 head,
                 req.body if req.body.size or not req.body.complete else None,
-                self._response_filter(call, candidate.name, first=copy.first),
+                self._response_filter(call, candidate.name, copy),
+                request_id=call.metadata.request_id,
                 head_only=req.method == b'HEAD',
             )
             await response.body.wait_buffered()
@@ -162,8 +172,9 @@
         return result
 
     def _record_sent(
-        self, call: Call, candidate: Candidate, started_s: float
+        self, call: Call, candidate: Candidate, copy: _Copy
     ) -> None:
+        started_s = copy.started_s
         call.sends += 1
         if not call.hedged:
             # The decision to hedge is about the first copy.
@@ -181,6 +192,8 @@
             told_ms_ago=candidate.load.report_age_ms(started_s),
             waited_ms=(started_s - call.req.arrived_s) * 1000,
             attempt=call.sends,
+            port=copy.port,
+            nth=copy.nth,
             coordinator=call.coordinator or 'none',
             limit=candidate.limit.requests_per_s,
         )
@@ -197,7 +210,7 @@
         metadata = self.dialect.read_response(response)
         result.metadata = metadata
         self.answers.record(
-            call, candidate, response, metadata, first=copy.first
+            call, candidate, response, metadata, port=copy.port, nth=copy.nth
         )
         self._evaluate(call, candidate, result, response, metadata)
         self.record_send(call, candidate, _outcome(result), response.body.size)
@@ -224,7 +237,7 @@
             self.service_times.record(call.route.name, nominal_s)
 
     def _response_filter(
-        self, call: Call, server: str, *, first: bool
+        self, call: Call, server: str, copy: _Copy
     ) -> Callable[[BackendResponse], bool]:
         expected = call.metadata.request_id
 
@@ -233,11 +246,13 @@
             if metadata.request_id is None:
                 # After the first request on a connection it may be an earlier
                 # response that the server sends once more.
-                own = first or not expected
+                own = copy.first or not expected
             else:
                 own = metadata.request_id == expected
             if not own:
-                self.answers.record_skipped(call, server, response, metadata)
+                self.answers.record_skipped(
+                    call, server, response, metadata, port=copy.port
+                )
             return own
 
         return belongs
--- a/wagtailfork/http1/backend.py
+++ b/wagtailfork/http1/backend.py
@@ -8,6 +8,7 @@
 
 from ..core.clock import now_s
 from .body import Body
+from .carried_ids import CarriedIds
 from .headers import Header, render_chunk
 from .responses import BackendResponse, RequestNotSent, ResponseError
 
@@ -36,6 +37,7 @@
     def __init__(self) -> None:
         """Initialize the state of an unconnected protocol."""
         self.request_count = 0
+        self.carried = CarriedIds()
         self.idle_since = now_s()
         self.idle_duration_s = 0.0  # before the current request
         self.keep_alive_s: float | None = None
@@ -104,6 +106,12 @@
 
     # Interface for the owner of the connection.
 
+    @property
+    def local_port(self) -> int:
+        """Return the local port, 0 if the connection is not open."""
+        name = self._transport and self._transport.get_extra_info('sockname')
+        return name[1] if name else 0
+
     @property
     def reusable(self) -> bool:
         """Return whether the connection can carry another request."""
@@ -122,6 +130,7 @@
         body: Body | None = None,
         accept: Accept = _accept_all,
         *,
+        request_id: str | None = None,
         head_only: bool = False,
     ) -> BackendResponse:
         """Send one request and wait for the head of its response.
@@ -131,6 +140,8 @@
         """
         if not self.reusable:
             raise RequestNotSent('the connection was closed while idle')
+        if request_id is not None:
+            self.carried.add(request_id)
         self._start_exchange(accept, head_only=head_only)
         waiter = self._waiter
         assert waiter is not None  # noqa: S101
