--- a/wagtailfork/standin/scripted_backend.py
+++ b/wagtailfork/standin/scripted_backend.py
@@ -136,6 +136,7 @@
     service_s: float = 0.005
     slowness_percent: int = 100
     limit_per_s: float | None = None  # requests a second, if it names a limit
+    names_itself: bool = True  # in health checks
     script: Script = serve_request
     prelude: Script = _send_nothing  # before each response, probes included
     runs: list[ReceivedRequest] = attrs.field(factory=list)
@@ -216,7 +217,8 @@
         await self.prelude(self, req, writer)
         if req.path == _HEALTH_PATH:
             self.probes += 1
-            extra = f'Instance-Id: {self.name}\r\n{self.load_header()}'
+            name = f'Instance-Id: {self.name}\r\n' if self.names_itself else ''
+            extra = f'{name}{self.load_header()}'
             writer.write(render_response(req, b'', extra=extra))
             return
         self.arrivals.append(req)
