Send no id twice on one connection to a backend server

Cause: an answer was matched to a send by its id alone. A server that refused a request may send a copy of the refusal later, with the id; if the request is under way again on the same kept connection, the copy was taken for the answer of that send. A call excludes the names of servers that refused it, while the pool goes by address and hands out the connection used last: so two entries that name one address, or a caller that uses an id again, bring an id to its connection a second time. The class: an answer is attributed by a name that more than one send bears.

Now a connection records the ids that it has carried (http1/carried_ids.py) and carries none twice: the pool passes it over, BackendConnection.exchange refuses it as not sent. A request without an id is sent only as the first of its connection, as only there an answer without an id can be its own. Health checks and calls to the store bear no id, and their answers promise nothing to a caller. wagtailfork_repeated_ids counts connections that were passed over.

Ruled out as fixes: excluding addresses beside names, as it leaves ids that callers use again; closing each connection after a refusal, as busy servers refuse most and bound their connections.

The pool's bound and the not-sent exchange have tests of their own.

--- a/wagtailfork/gateway/meters.py
+++ b/wagtailfork/gateway/meters.py
@@ -57,8 +57,6 @@
     retries: Counter[str] = attrs.field(factory=Counter)  # by service
     hedges: Counter[str] = attrs.field(factory=Counter)  # by service
     answers: Counter[AnswerKind] = attrs.field(factory=Counter)  # of servers
-    # Sends of an id that their connection has carried before.
-    repeated_ids: int = 0
     moved_bytes: Counter[str] = attrs.field(factory=Counter)  # bytes, by reach
 
     def record_ended(
--- a/wagtailfork/gateway/metrics.py
+++ b/wagtailfork/gateway/metrics.py
@@ -135,8 +135,8 @@
         ),
         (
             'wagtailfork_repeated_ids',
-            'Sends of an id that their connection has carried before',
-            node.meters.repeated_ids,
+            'Idle connections passed over, as they had carried the id',
+            node.pool.repeated_ids,
         ),
         ('wagtailfork_limited_servers', 'Servers that name a limit', limited),
         ('wagtailfork_log_left_out', 'Lines left out', node.log.dropped_lines),
--- a/wagtailfork/gateway/sender.py
+++ b/wagtailfork/gateway/sender.py
@@ -106,6 +106,7 @@
                 timeout_s=min(
                     CONNECT_TIMEOUT_S, max(_MIN_TIMEOUT_S, call.left_s())
                 ),
+                request_id=call.metadata.request_id,
             )
         except RequestNotSent as exc:
             candidate.load.eject(now_s())
@@ -142,11 +143,9 @@
             slowness=candidate.load.slowness(started_s),
             full=_is_full(candidate, started_s),
             port=conn.local_port,
-            nth=conn.request_count + 1,
+            nth=conn.carried.count + 1,
         )
         self._record_sent(call, candidate, copy)
-        if conn.carried.has(call.metadata.request_id):
-            self.answers.meters.repeated_ids += 1
         try:
             response = await conn.exchange(
                 head,
@@ -246,7 +245,7 @@
             if metadata.request_id is None:
                 # After the first request on a connection it may be an earlier
                 # response that the server sends once more.
-                own = copy.first or not expected
+                own = copy.first
             else:
                 own = metadata.request_id == expected
             if not own:
--- a/wagtailfork/http1/backend.py
+++ b/wagtailfork/http1/backend.py
@@ -36,7 +36,6 @@
 
     def __init__(self) -> None:
         """Initialize the state of an unconnected protocol."""
-        self.request_count = 0
         self.carried = CarriedIds()
         self.idle_since = now_s()
         self.idle_duration_s = 0.0  # before the current request
@@ -136,12 +135,14 @@
         """Send one request and wait for the head of its response.
 
         ``accept`` returns whether a response belongs to the request; others
-        are skipped. Raise ``RequestNotSent`` or ``ResponseError``.
+        are skipped. For ``request_id`` see ``CarriedIds``. Raise
+        ``RequestNotSent`` or ``ResponseError``.
         """
         if not self.reusable:
             raise RequestNotSent('the connection was closed while idle')
-        if request_id is not None:
-            self.carried.add(request_id)
+        if not self.carried.may_carry(request_id):
+            raise RequestNotSent(f'the connection has carried {request_id!r}')
+        self.carried.add(request_id)
         self._start_exchange(accept, head_only=head_only)
         waiter = self._waiter
         assert waiter is not None  # noqa: S101
@@ -167,7 +168,6 @@
             raise
 
     def _start_exchange(self, accept: Accept, *, head_only: bool) -> None:
-        self.request_count += 1
         self.idle_duration_s = now_s() - self.idle_since
         self._accept = accept
         self._head_only = head_only
--- a/wagtailfork/http1/pool.py
+++ b/wagtailfork/http1/pool.py
@@ -20,23 +20,24 @@
     """Keep idle connections by address; close them before servers do."""
 
     opened_count: int = 0
+    # Idle connections passed over, as they had carried the request's id.
+    repeated_ids: int = 0
     once_idle_limit_s: float = ONCE_IDLE_LIMIT_S
     _idle: dict[str, list[BackendConnection]] = attrs.field(factory=dict)
 
     def take_idle(
-        self, address: str, *, once: bool
+        self, address: str, *, once: bool, request_id: str | None = None
     ) -> BackendConnection | None:
-        """Return the most recently used connection, if within its limit."""
+        """Return the connection used last that may carry the request."""
         idle = self._idle.get(address, [])
-        while idle:
-            conn = idle.pop()
-            if not conn.reusable or _is_expired(conn, DEFAULT_IDLE_LIMIT_S):
-                conn.close()
-                continue
+        _close_unusable(idle)
+        for conn in reversed(tuple(idle)):
             if once and now_s() - conn.idle_since > self.once_idle_limit_s:
-                idle.append(conn)
                 return None
-            return conn
+            if conn.carried.may_carry(request_id):
+                idle.remove(conn)
+                return conn
+            self.repeated_ids += 1
         return None
 
     def has_idle(self, address: str) -> bool:
@@ -49,9 +50,10 @@
         *,
         once: bool,
         timeout_s: float,
+        request_id: str | None = None,
     ) -> BackendConnection:
         """Return an idle or new connection, or raise ``RequestNotSent``."""
-        conn = self.take_idle(address, once=once)
+        conn = self.take_idle(address, once=once, request_id=request_id)
         if conn is not None:
             return conn
         host, _, port = address.rpartition(':')
@@ -64,7 +66,8 @@
         Return the time until which it may be reused, 0 if closed.
         """
         idle = self._idle.setdefault(address, [])
-        if conn.reusable and len(idle) < MAX_IDLE_PER_ADDRESS:
+        wanted = len(idle) < MAX_IDLE_PER_ADDRESS and not conn.carried.full
+        if wanted and conn.reusable:
             idle.append(conn)
             return now_s() + _idle_limit_s(conn, DEFAULT_IDLE_LIMIT_S)
         conn.close()
@@ -87,21 +90,20 @@
 
     def sweep(self) -> None:
         """Close idle connections that are past their limit."""
-        for address, idle in list(self._idle.items()):
-            fresh = []
-            for conn in idle:
-                if conn.reusable and not _is_expired(
-                    conn, DEFAULT_IDLE_LIMIT_S
-                ):
-                    fresh.append(conn)
-                else:
-                    conn.close()
-            if fresh:
-                self._idle[address] = fresh
-            else:
+        for address, idle in tuple(self._idle.items()):
+            _close_unusable(idle)
+            if not idle:
                 self._idle.pop(address)
 
 
+def _close_unusable(idle: list[BackendConnection]) -> None:
+    for conn in tuple(idle):
+        if conn.reusable and not _is_expired(conn, DEFAULT_IDLE_LIMIT_S):
+            continue
+        idle.remove(conn)
+        conn.close()
+
+
 def _idle_limit_s(conn: BackendConnection, default_s: float) -> float:
     if conn.keep_alive_s is not None:
         return conn.keep_alive_s * KEEP_ALIVE_FRACTION
--- a/wagtailfork/http1/tests/test_backend.py
+++ b/wagtailfork/http1/tests/test_backend.py
@@ -52,10 +52,11 @@
     """``RequestNotSent`` means that no byte was written."""
 
     def test_unusable_connections_send_nothing(self) -> None:
-        """The connection was closed, got stray bytes, or is in use."""
+        """It was closed, got stray bytes, is in use, or has carried the id."""
         asyncio.run(self._use_closed())
         asyncio.run(self._use_after_stray_bytes())
         asyncio.run(self._use_busy())
+        asyncio.run(self._use_again())
 
     def test_loss_after_the_write_is_no_proof(self) -> None:
         """The connection is lost right after the request was written."""
@@ -82,9 +83,24 @@
         self.assertEqual(written, transport.written)
         first.cancel()
 
-    async def _assert_not_sent(self, conn: BackendConnection) -> None:
+    async def _use_again(self) -> None:
+        conn, transport = make_connection()
+        first = asyncio.create_task(
+            conn.exchange(HEAD, make_body(), request_id='r1')
+        )
+        await asyncio.sleep(0)
+        conn.data_received(b'HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n')
+        await first
+        self.assertTrue(conn.reusable)
+        written = transport.written
+        await self._assert_not_sent(conn, 'r1')
+        self.assertEqual(written, transport.written)
+
+    async def _assert_not_sent(
+        self, conn: BackendConnection, request_id: str | None = None
+    ) -> None:
         try:
-            await conn.exchange(HEAD, make_body())
+            await conn.exchange(HEAD, make_body(), request_id=request_id)
         except RequestNotSent:
             return
         self.fail('the exchange was begun')
--- a/wagtailfork/http1/tests/test_pool.py
+++ b/wagtailfork/http1/tests/test_pool.py
@@ -6,6 +6,7 @@
 import testtools
 
 from ..backend import BackendConnection
+from ..carried_ids import MAX_IDS
 from ..headers import render_head
 from ..pool import ConnectionPool
 from ..responses import ResponseError
@@ -66,11 +67,14 @@
     address: str,
     *,
     once: bool,
+    request_id: str | None = None,
 ) -> BackendConnection:
     """Send one request through the pool and return its connection."""
-    conn = await pool.acquire(address, once=once, timeout_s=1)
+    conn = await pool.acquire(
+        address, once=once, timeout_s=1, request_id=request_id
+    )
     try:
-        response = await conn.exchange(HEAD)
+        response = await conn.exchange(HEAD, request_id=request_id)
         await response.body.wait_buffered()
     except ResponseError:
         conn.close()
@@ -94,6 +98,35 @@
 
         run_scenario(make_server(), scenario)
 
+    def test_id_is_sent_once_on_a_connection(self) -> None:
+        """A request that is sent again gets another connection."""
+
+        async def scenario(pool: ConnectionPool, address: str) -> None:
+            used = [
+                await exchange(pool, address, once=True, request_id=request_id)
+                for request_id in ('r1', 'r1', 'r2', 'r1', '', '')
+            ]
+            # The connection used last may carry 'r2'; no other may carry ''.
+            self.assertIs(used[1], used[2])
+            self.assertEqual(5, len(set(used)))
+            self.assertEqual(5, pool.opened_count)
+
+        run_scenario(make_server(), scenario)
+
+    def test_ids_of_a_connection_are_bounded(self) -> None:
+        """A connection is closed once it has carried so many ids."""
+
+        async def scenario(pool: ConnectionPool, address: str) -> None:
+            used = [
+                await exchange(pool, address, once=True, request_id=str(number))
+                for number in range(MAX_IDS + 1)
+            ]
+            self.assertEqual(2, pool.opened_count)
+            self.assertIsNot(used[-2], used[-1])
+            self.assertFalse(used[0].reusable)
+
+        run_scenario(make_server(), scenario)
+
     def test_retired_before_server_limit(self) -> None:
         """A connection is replaced before the announced keep-alive timeout."""
 
