Send no id twice on one connection on the own interface either

The same fault as on the platform's path: the client of the product's own interface kept connections by address, and a copy of a shed was taken for the answer to a later send of its id.

Its connector now applies the same rule (CarriedIds) to each connection. It also leaves connections on which bytes arrived while they were idle: aiohttp queues them as the next answer, which another request then got as a lost connection. That part was found by reading; no test shows it alone.

--- a/wagtailfork/proxy/sender.py
+++ b/wagtailfork/proxy/sender.py
@@ -304,6 +304,7 @@
         target=req.target,
         headers=headers,
         body=_make_body(req.body, far_link),
+        request_id=req.request_id,
     )
 
 
--- a/wagtailfork/routing/tests/test_upstream.py
+++ b/wagtailfork/routing/tests/test_upstream.py
@@ -11,7 +11,6 @@
 from ..endpoint import Endpoint
 from ..upstream import Upstream, UpstreamRequest
 
-REQUEST_ID = 'x-request-id'
 ANSWER = b'HTTP/1.1 %b\r\nx-request-id: r1\r\nContent-Length: 0\r\n\r\n'
 REFUSAL = ANSWER % b'503 Full\r\nwagtailfork-shed: 1'
 RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
@@ -86,9 +85,12 @@
         upstream = Upstream()
         found = []
         for request_id in ids:
-            headers = ((REQUEST_ID, request_id),) if request_id else ()
             req = UpstreamRequest(
-                method='GET', target='/', headers=headers, body=b''
+                method='GET',
+                target='/',
+                headers=(),
+                body=b'',
+                request_id=request_id,
             )
             response = await upstream.send(endpoint, req, 1)
             await response.read()
--- a/wagtailfork/routing/upstream.py
+++ b/wagtailfork/routing/upstream.py
@@ -10,6 +10,7 @@
 import socket
 import weakref
 from collections.abc import AsyncIterator, Callable, Sequence
+from contextvars import ContextVar
 from typing import Any, Final
 
 import aiohttp
@@ -17,6 +18,7 @@
 from aiohttp import ClientResponse, ClientSession
 from yarl import URL
 
+from ..http1.carried_ids import CarriedIds
 from .endpoint import Endpoint
 
 CONNECT_TIMEOUT_S: Final = 1.0
@@ -62,6 +64,7 @@
     target: str  # path with query, percent-encoded
     headers: Headers
     body: 'bytes | StreamedBody'
+    request_id: str | None = None  # as in the headers
 
 
 @attrs.define
@@ -105,26 +108,48 @@
 
 @attrs.define(eq=False)
 class _Exchange:
-    """Record whether the connection of an exchange carried another before."""
+    """Hold the id of a request and whether its connection was used before."""
 
+    request_id: str | None
     reused: bool = False
 
 
-async def _record_reuse(
-    _session: ClientSession, ctx: Any, _connection: Any
-) -> None:
-    if ctx.trace_request_ctx is not None:
-        ctx.trace_request_ctx.reused = True
+_exchange: ContextVar[_Exchange | None] = ContextVar('exchange', default=None)
 
 
-def _make_trace() -> aiohttp.TraceConfig:
-    trace = aiohttp.TraceConfig()
-    trace.on_connection_reuseconn.append(_record_reuse)
-    return trace
+class _Connector(aiohttp.TCPConnector):
+    """Give each request a connection that may carry its id."""
+
+    def __init__(self, **options: Any) -> None:
+        """Initialize a connector without connections."""
+        super().__init__(**options)
+        self._carried: weakref.WeakKeyDictionary[Any, CarriedIds] = (
+            weakref.WeakKeyDictionary()
+        )
+
+    async def connect(
+        self, req: Any, traces: Any, timeout: Any
+    ) -> aiohttp.connector.Connection:
+        """Return an idle or new connection for the current exchange."""
+        exchange = _exchange.get()
+        request_id = None if exchange is None else exchange.request_id
+        while True:
+            conn = await super().connect(req, traces, timeout)
+            protocol = conn.protocol
+            assert protocol is not None  # noqa: S101
+            carried = self._carried.setdefault(protocol, CarriedIds())
+            # Bytes that arrived while it was idle must not pass for an answer.
+            if carried.may_carry(request_id) and not protocol.should_close:
+                break
+            conn.close()
+        if exchange is not None:
+            exchange.reused = bool(carried.count)
+        carried.add(request_id)
+        return conn
 
 
 def _make_session() -> ClientSession:
-    connector = aiohttp.TCPConnector(
+    connector = _Connector(
         limit=0,
         keepalive_timeout=_IDLE_CONNECTION_S,
         socket_factory=_make_socket,
@@ -133,7 +158,6 @@
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
-        trace_configs=[_make_trace()],
         timeout=aiohttp.ClientTimeout(
             total=None,
             sock_connect=CONNECT_TIMEOUT_S,
@@ -190,7 +214,8 @@
         address = endpoint.backend.address
         url = URL(f'http://{address}{req.target}', encoded=True)
         session = self._session(address)
-        exchange = _Exchange()
+        exchange = _Exchange(req.request_id)
+        token = _exchange.set(exchange)
         try:
             async with asyncio.timeout(first_byte_s) as scope:
                 response = await session.request(
@@ -199,7 +224,6 @@
                     headers=req.headers,
                     data=_payload(req.body, scope),
                     allow_redirects=False,
-                    trace_request_ctx=exchange,
                 )
         except aiohttp.ClientConnectorError as exc:
             raise UpstreamError(FailureKind.not_sent, repr(exc)) from exc
@@ -209,6 +233,8 @@
             raise UpstreamError(FailureKind.silent, address) from exc
         except (aiohttp.ClientError, OSError) as exc:
             raise UpstreamError(_loss_kind(req.body), repr(exc)) from exc
+        finally:
+            _exchange.reset(token)
         if exchange.reused:
             self._on_reused.add(response)
         return response
