Show what an id used again costs others, and what explain says of it

- An idle connection that has carried an id is passed over and kept, and a new one is opened beside it. 20 payments in turn with one id hold up to 9 connections to a server; 1 on.
At a server that takes 4 connections from all VMs, payments with that id, or with others at another VM, get 502 after 4 of them; all are served on.
- explain takes all lines of an id for one request: of a refused payment and one with its id that ran it says 'refused' alone.
- The reasons other_server and connect_failed are described nowhere.

The scripted server can close connections beyond a number for this.

--- a/wagtailfork/standin/scripted_backend.py
+++ b/wagtailfork/standin/scripted_backend.py
@@ -137,6 +137,7 @@
     slowness_percent: int = 100
     limit_per_s: float | None = None  # requests a second, if it names a limit
     names_itself: bool = True  # in health checks
+    max_connections: int | None = None  # it closes any beyond that
     script: Script = serve_request
     prelude: Script = _send_nothing  # before each response, probes included
     runs: list[ReceivedRequest] = attrs.field(factory=list)
@@ -188,6 +189,9 @@
     ) -> None:
         handler = asyncio.current_task()
         assert handler is not None  # noqa: S101
+        if len(self._handlers) == self.max_connections:
+            writer.transport.abort()
+            return
         self.connections += 1
         self._handlers.add(handler)
         try:
