Replace a connection that has carried an id by the one opened for it

A caller that used one id twenty times held nine connections to a server; at a server that took four, payments of others got 502 after four of them. Before such requests shared one.

Now the idle connection used last is closed before the new one is opened if all idle ones have carried the id, so the number of connections stays as it was.

--- a/wagtailfork/gateway/metrics.py
+++ b/wagtailfork/gateway/metrics.py
@@ -135,7 +135,7 @@
         ),
         (
             'wagtailfork_repeated_ids',
-            'Idle connections passed over, as they had carried the id',
+            'Requests whose id all idle connections had carried',
             node.pool.repeated_ids,
         ),
         ('wagtailfork_limited_servers', 'Servers that name a limit', limited),
--- a/wagtailfork/http1/pool.py
+++ b/wagtailfork/http1/pool.py
@@ -20,7 +20,7 @@
     """Keep idle connections by address; close them before servers do."""
 
     opened_count: int = 0
-    # Idle connections passed over, as they had carried the request's id.
+    # Requests whose id the idle connections to their server had carried.
     repeated_ids: int = 0
     once_idle_limit_s: float = ONCE_IDLE_LIMIT_S
     _idle: dict[str, list[BackendConnection]] = attrs.field(factory=dict)
@@ -28,16 +28,22 @@
     def take_idle(
         self, address: str, *, once: bool, request_id: str | None = None
     ) -> BackendConnection | None:
-        """Return the connection used last that may carry the request."""
+        """Return the connection used last that may carry the request.
+
+        One that has carried its id makes room for the connection that will be
+        opened, so that an id that is used again costs no further connections.
+        """
         idle = self._idle.get(address, [])
         _close_unusable(idle)
-        for conn in reversed(tuple(idle)):
+        for conn in reversed(idle):
             if once and now_s() - conn.idle_since > self.once_idle_limit_s:
                 return None
             if conn.carried.may_carry(request_id):
                 idle.remove(conn)
                 return conn
+        if idle:
             self.repeated_ids += 1
+            idle.pop().close()
         return None
 
     def has_idle(self, address: str) -> bool:
