Explain each request of an id that was used more than once

It also had no words for two reasons of a refusal, other_server and connect_failed.

Now it gives the cause of each final event if more than one request with the id was admitted, and says how many there were.

--- a/wagtailfork/explain/causes.py
+++ b/wagtailfork/explain/causes.py
@@ -14,6 +14,8 @@
     'queue_full': 'the queue of its service was full',
     'no_server': 'no server of its service was known or left to try',
     'shed': 'each server that was tried reported that it was full',
+    'other_server': 'another server answered at the address of each tried',
+    'connect_failed': 'no connection to the servers tried could be opened',
     'not_serving': 'this VM had no configuration or no servers yet',
     'unknown_service': 'no route of the current configuration matches it',
     'quarantined': 'requests like it have crashed two servers',
@@ -33,16 +35,21 @@
     events: list[LogLine],
     related: Iterable[LogLine],
 ) -> tuple[str, ...]:
-    """Return the causes; the one of the final event comes first."""
-    final = next(
-        (line for line in reversed(events) if line.event in _FINAL_EVENTS),
-        None,
-    )
-    if final is None:
+    """Return the causes; the one of the final event comes first.
+
+    If callers used the id more than once, all final events come first.
+    """
+    finals = [line for line in reversed(events) if line.event in _FINAL_EVENTS]
+    if not finals:
         return (_describe_unfinished(events), *_count_server_events(related))
-    causes = [_DESCRIBE_BY_EVENT[final.event](final, events)]
-    if final.event == 'answered':
-        causes.extend(_describe_latency(final, events))
+    admitted = sum(line.event == 'admitted' for line in events)
+    if admitted <= 1:
+        finals = finals[:1]
+    causes = [_DESCRIBE_BY_EVENT[line.event](line, events) for line in finals]
+    if admitted > 1:
+        causes.append(f'{admitted} requests had this id')
+    elif finals[0].event == 'answered':
+        causes.extend(_describe_latency(finals[0], events))
     causes.extend(_describe_sends(events))
     causes.extend(_count_server_events(related))
     return tuple(causes)
