Draw the ports of tests and soaks where review/ and the kernel draw none

What was missing: rig_tools.free_port drew from 12000 to 29999 with a lock, the stand-ins of review/ from 12000 to 31999 without one. Both bind a port and release it before its user listens, so a port could go to two processes.

Now free_port draws from 2000 to 11999 and 61000 to 65535: outside the range of review/ and the kernel's range of outgoing connections. The lock is on the byte of the port itself.

Two cases of review/ at once still draw from one range without a lock.

--- a/wagtailfork/tests/rig_tools.py
+++ b/wagtailfork/tests/rig_tools.py
@@ -18,8 +18,9 @@
 POLL_S = 0.05
 SEGMENT_BYTES = 1448  # of an ordinary link
 WINDOW_BYTES = 4096
-_FIRST_PORT = 12000
-_PORT_COUNT = 18000  # the range ends below the kernel's ephemeral ports
+# None that the kernel gives to outgoing connections (32768 to 60999), and none
+# that the stand-ins of review/ draw (12000 to 31999).
+_PORTS = (*range(2000, 12000), *range(61000, 65536))
 _port_offsets = itertools.count(os.getpid() * 101)
 
 
@@ -28,25 +29,24 @@
 _port_locks = _LOCK_FILE.open('ab')
 
 
-def _reserve(offset: int) -> bool:
+def _reserve(port: int) -> bool:
     """Lock the byte of a port, so that no other run of tests takes it."""
     try:
-        fcntl.lockf(_port_locks, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, offset)
+        fcntl.lockf(_port_locks, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
     except OSError:
         return False
     return True
 
 
 def free_port() -> int:
-    """Return an unused port outside the kernel's ephemeral range.
+    """Return an unused port that no outgoing connection gets.
 
     No other process gets it from this function while this process runs.
     """
     while True:
-        offset = next(_port_offsets) % _PORT_COUNT
-        if not _reserve(offset):
+        port = _PORTS[next(_port_offsets) % len(_PORTS)]
+        if not _reserve(port):
             continue
-        port = _FIRST_PORT + offset
         with socket.socket() as sock:
             try:
                 sock.bind((HOST, port))
