Let the soak show copied refusals: late copies, stale entries, repeated ids

So no run could break the rule.

Callers send half of the refused ids again (--fresh-ids turns that off); the refusal keeps a record of its own. The report counts returned_ids, repeated_ids and revisits.

Requests that a leaving server got for another name and answered 421 are not judged by DRAIN any more: nobody addressed that server, and the rule leaves them out.

--- a/wagtailfork/cli/soak.py
+++ b/wagtailfork/cli/soak.py
@@ -40,7 +40,7 @@
 @click.option('--callers', default=60, show_default=True)
 @click.option(
     '--answers',
-    default='faulty,stated',
+    default='faulty,stated,copied',
     show_default=True,
     help=f'Groups of answers of servers: {", ".join(GROUPS)}.',
 )
@@ -55,6 +55,19 @@
     default='',
     help='Kinds of disruptions, separated by commas; default: all.',
 )
+@click.option(
+    '--stale-entries',
+    default=4,
+    show_default=True,
+    type=click.IntRange(0),
+    help='Servers that have a second entry, of a name that is gone.',
+)
+@click.option(
+    '--repeat-ids/--fresh-ids',
+    default=True,
+    show_default=True,
+    help='Whether callers send ids again that were refused.',
+)
 @click.option(
     '--checkout',
     default='',
@@ -109,6 +122,9 @@
             'answered': record.answered(),
             'in_touch': record.judged_in_touch,
             'broken': len(record.broken()),
+            'returned_ids': record.returned_ids,
+            'repeated_ids': record.repeated_ids,
+            'revisits': record.revisits,
             'unasked': len(record.unasked),
             'excessive': len(record.excessive),
             'ended': len(record.ended),
--- a/wagtailfork/soak/answers.py
+++ b/wagtailfork/soak/answers.py
@@ -8,7 +8,8 @@
 # The answers of each group with their weights. ``bare`` servers run what they
 # refuse and do not state that they did not; the statement of ``contrary`` ones
 # contradicts their status, or they deny it. ``endless`` ones send bytes until
-# their caller closes.
+# their caller closes. ``copied`` ones refuse no more requests: they repeat a
+# refusal when its request is under way again on the connection of the refusal.
 GROUPS: Final[Mapping[str, Mapping[str, float]]] = {
     'stated': {
         'refuse': 3,
@@ -49,7 +50,9 @@
         'ran_503_denied': 1,
         'ran_with_trailer': 1,
     },
+    'copied': {},
 }
+COPIED: Final = 'copied'
 SERVE_WEIGHT: Final = 60.0
 SERVE: Final = 'serve'
 _BODY_BYTES: Final = 400
--- a/wagtailfork/soak/callers.py
+++ b/wagtailfork/soak/callers.py
@@ -17,6 +17,7 @@
 LONGEST_DEADLINE_S: Final = 6.5
 PATIENCE_S: Final = 1.5  # beyond the deadline, for a gateway that was frozen
 KEEP_SHARE: Final = 0.7  # of connections that are used again
+AGAIN_SHARE: Final = 0.5  # of refused requests: sent again with their ids
 LEAVE_SHARE: Final = 0.06
 PAUSE_S: Final = 0.05  # mean, between two requests of a caller
 CONNECT_TIMEOUT_S: Final = 1.0
@@ -44,7 +45,9 @@
     record: Record
     rng: random.Random
     addresses: Callable[[], list[str]]  # of the gateways that are named now
+    again_share: float = AGAIN_SHARE
     _sent: int = 0
+    _again: RequestRecord | None = None  # refused, to be sent again
     _conn: _Connection | None = None
 
     async def run(self, until_s: float) -> None:
@@ -67,15 +70,23 @@
         except (OSError, asyncio.IncompleteReadError):
             seen.cut_s = now_s()
             self._close()
-        if self.rng.random() > KEEP_SHARE:
+        if seen.may_come_again and self.rng.random() < self.again_share:
+            self._again = seen
+            self._close()
+        elif self.rng.random() > KEEP_SHARE:
             self._close()
 
     def _make_request(self, gateway: str) -> RequestRecord:
         self._sent += 1
         kind = self.rng.choices(list(_KINDS), list(_KINDS.values()))[0]
+        request_id = f'{kind}-{self.number}-{self._sent}'
+        if self._again is not None:
+            kind, request_id = self._again.kind, self._again.request_id
+            self.record.set_aside(self._again)
+            self._again = None
         low, high = math.log(SHORTEST_DEADLINE_S), math.log(LONGEST_DEADLINE_S)
         seen = RequestRecord(
-            request_id=f'{kind}-{self.number}-{self._sent}',
+            request_id=request_id,
             kind=kind,
             gateway=gateway,
             sent_s=now_s(),
--- a/wagtailfork/soak/deployment.py
+++ b/wagtailfork/soak/deployment.py
@@ -1,6 +1,7 @@
 """One run of a soak: a store, servers, gateways and callers."""
 
 import asyncio
+import functools
 import json
 import logging
 import pathlib
@@ -15,14 +16,15 @@
 from ..standin.documents import make_route
 from ..standin.keyed_store import KeyedStoreStandin
 from ..tests.rig_tools import free_port
-from .answers import weights_of
-from .callers import LONGEST_DEADLINE_S, PATIENCE_S, Caller
+from .answers import COPIED, weights_of
+from .callers import AGAIN_SHARE, LONGEST_DEADLINE_S, PATIENCE_S, Caller
 from .disruptions import Disruptor
 from .gateways import GatewayProcess
 from .memory import MemoryWatch
 from .plan import PAYMENT_SERVICES, REGIONS, SERVICES, SoakPlan
 from .record import Record
 from .servers import SoakServer
+from .stale_entries import StaleEntries
 from .timed_rules import TimedRules
 
 CONFIG_TOPIC: Final = 'keyed.op'
@@ -98,6 +100,7 @@
             record=self.record,
             rng=random.Random(rng.random()),  # noqa: S311
             weights=weights_of(self.plan.answers),
+            copies=COPIED in self.plan.answers,
         )
         await server.start()
         self.servers.append(server)
@@ -111,6 +114,7 @@
                 record=self.record,
                 rng=random.Random(rng.random()),  # noqa: S311
                 addresses=self._addresses,
+                again_share=AGAIN_SHARE if self.plan.repeat_ids else 0,
             )
             for number in range(self.plan.callers)
         ]
@@ -118,6 +122,8 @@
         if self.plan.disrupted:
             disruptor = self._make_disruptor(rng)
             tasks.append(asyncio.create_task(disruptor.run(until_s)))
+        stale = self._make_stale_entries(rng)
+        tasks.append(asyncio.create_task(stale.run(until_s)))
         memory = MemoryWatch(self.gateways)
         watch = asyncio.create_task(memory.run())
         await asyncio.sleep(self.plan.seconds)
@@ -157,9 +163,21 @@
             store_disruptions=self.rules.store,
         )
 
+    def _make_stale_entries(self, rng: random.Random) -> StaleEntries:
+        return StaleEntries(
+            count=self.plan.stale_entries,
+            servers=self.servers,
+            record=self.record,
+            rng=random.Random(rng.random()),  # noqa: S311
+            register=self._put_entry,
+            unregister=functools.partial(self.store.delete_key, SERVERS_TOPIC),
+        )
+
     def _register(self, server: SoakServer) -> None:
-        entry = json.dumps(server.entry()).encode()
-        self.store.put(SERVERS_TOPIC, server.name, entry)
+        self._put_entry(server.name, server.entry())
+
+    def _put_entry(self, name: str, entry: dict[str, object]) -> None:
+        self.store.put(SERVERS_TOPIC, name, json.dumps(entry).encode())
 
     def _change_configuration(self) -> None:
         self._version += 1
--- a/wagtailfork/soak/plan.py
+++ b/wagtailfork/soak/plan.py
@@ -29,7 +29,13 @@
     servers: int = attrs.field(default=20, validator=attrs.validators.ge(3))
     callers: int = attrs.field(default=60, validator=attrs.validators.ge(1))
     # Groups of answers, see ``answers.GROUPS``.
-    answers: tuple[str, ...] = ('faulty', 'stated')
+    answers: tuple[str, ...] = ('faulty', 'stated', 'copied')
     disrupted: bool = True
     disruptions: tuple[str, ...] = ()  # kinds; empty: all
+    # Servers that have a second entry, of a name that is gone, at any time.
+    stale_entries: int = attrs.field(
+        default=4, validator=attrs.validators.ge(0)
+    )
+    # Whether callers send ids again that were refused and did not run.
+    repeat_ids: bool = True
     checkout: str = ''  # of the build to run; empty: the installed one
--- a/wagtailfork/soak/record.py
+++ b/wagtailfork/soak/record.py
@@ -49,6 +49,11 @@
         """Return whether the request may run more than once."""
         return self.kind == 'look'
 
+    @property
+    def may_come_again(self) -> bool:
+        """Return whether it was refused and, so far, has not run."""
+        return self.status in PROMISES and not self.runs
+
     def broken_rule(self) -> str:
         """Return the name of the rule that was broken, empty if none was."""
         if self.fault:
@@ -87,12 +92,27 @@
     late: list[tuple[str, RequestRecord]] = attrs.field(factory=list)
     judged_in_touch: int = 0
     unasked: list[str] = attrs.field(factory=list)
+    # Arrivals of an id on a connection that had carried it, and at a server to
+    # which its gateway had sent it, on any connection.
+    returned_ids: int = 0
+    repeated_ids: int = 0  # by callers
+    revisits: int = 0
     # Resident bytes of gateways beyond the memory of a small VM, and the most.
     excessive: dict[str, int] = attrs.field(factory=dict)
     peak_bytes: int = 0
     # Gateways that ended although nobody ended them.
     ended: list[str] = attrs.field(factory=list)
 
+    def set_aside(self, refused: RequestRecord) -> None:
+        """Keep the record of a refused request whose id is sent again.
+
+        Its refusal is judged by what is known now. A run that comes later
+        counts for the later send: it may be refused or run, not both.
+        """
+        self.repeated_ids += 1
+        key = f'{refused.request_id}~{self.repeated_ids}'
+        self.requests[key] = refused
+
     def count_answer(self, answer: Answer) -> None:
         """Count an answer that a server sent."""
         self.answers[str(answer)] += 1
--- a/wagtailfork/soak/refusals.py
+++ b/wagtailfork/soak/refusals.py
@@ -3,10 +3,11 @@
 import asyncio
 from typing import Final
 
-from .reply import Play, Reply, render_head, render_refusal
+from .reply import STATED, Play, Reply, render_head, render_refusal
 
 _PIECE_DELAY_S: Final = 0.02
 _COPY_DELAY_S: Final = 0.06
+MISDIRECTED: Final = 421
 
 
 def refuse_with(status: str) -> Play:
@@ -58,7 +59,16 @@
     reply.writer.write(raw[middle:])
 
 
+async def copy_refusal(reply: Reply, status: int) -> None:
+    """Send a refusal of an earlier send of the request once more."""
+    stated = status != MISDIRECTED
+    extra = STATED if stated else ''
+    reply.sent(status, stated=stated, named=True)
+    reply.writer.write(render_head(reply, f'{status} Again', 0, extra=extra))
+    await reply.writer.drain()
+
+
 async def misdirect(reply: Reply) -> None:
     """Say that the request was meant for another server."""
-    reply.sent(421, stated=False, named=True)
+    reply.sent(MISDIRECTED, stated=False, named=True)
     reply.writer.write(render_head(reply, '421 Misdirected Request', 0))
--- a/wagtailfork/soak/servers.py
+++ b/wagtailfork/soak/servers.py
@@ -9,13 +9,17 @@
 
 from ..core.clock import now_s
 from .answers import Answer, make_body
+from .carried import Carried
 from .plays import PLAYS
 from .record import Record, Visit
+from .refusals import MISDIRECTED, copy_refusal
 from .reply import reset
 from .wire import Head, read_body, read_head
 
 SLOTS: Final = 4
 QUEUE: Final = 6  # requests beyond the slots
+# Of health checks at an address with a stale name: those that bear no name.
+NAMELESS_SHARE: Final = 0.8
 MEAN_WORK_S: Final = 0.06
 IDLE_CLOSE_SHARE: Final = 0.03  # of answers after which the server forgets
 EARLY_SHARE: Final = 0.2  # of large uploads answered before their end
@@ -28,7 +32,7 @@
     server: 'SoakServer'
     request_id: str
     writer: asyncio.StreamWriter
-    first: bool
+    carried: Carried
     rng: random.Random
     ran: bool = False
 
@@ -38,12 +42,14 @@
         await asyncio.sleep(self.rng.expovariate(1 / MEAN_WORK_S))
 
     def sent(self, status: int, *, stated: bool, named: bool) -> None:
+        if not self.ran and (stated or status == MISDIRECTED):
+            self.carried.refused[self.request_id] = status
         self.server.record.count_answer(
             Answer(
                 status=status,
                 stated=stated,
                 named=named,
-                first=self.first,
+                first=self.carried.requests == 1,
                 ran=self.ran,
             )
         )
@@ -75,9 +81,11 @@
     record: Record
     rng: random.Random
     weights: dict[str, float]
+    copies: bool = False  # whether it repeats refusals of ids that return
     born: int = 1
     sequence: int = 0
     leaving_since_s: float | None = None
+    stale_names: set[str] = attrs.field(factory=set)  # at its address
     running: int = 0
     waiting: int = 0
     _slots: asyncio.Semaphore = attrs.field(
@@ -85,6 +93,7 @@
     )
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
+    _senders: set[tuple[str, str]] = attrs.field(factory=set)  # id, gateway
 
     async def start(self) -> None:
         """Listen on the address."""
@@ -115,9 +124,13 @@
             'born': self.born,
         }
 
-    def visit(self) -> Visit:
-        """Return a visit of a request now."""
-        return Visit(now_s(), self.name, self.service, self.leaving_since_s)
+    def visit(self, *, misdirected: bool = False) -> Visit:
+        """Return a visit of a request now.
+
+        A misdirected one tells nothing of whether the server may be used.
+        """
+        since_s = None if misdirected else self.leaving_since_s
+        return Visit(now_s(), self.name, self.service, since_s)
 
     def load(self) -> str:
         """Return the header with the load."""
@@ -127,14 +140,13 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
-        first = True
+        carried = Carried()
         with contextlib.suppress(
             OSError, asyncio.IncompleteReadError, ValueError
         ):
             while not writer.is_closing():
                 head = await read_head(reader)
-                await self._handle(head, reader, writer, first=first)
-                first = False
+                await self._handle(head, reader, writer, carried)
                 await writer.drain()
                 if self.rng.random() < IDLE_CLOSE_SHARE:
                     break
@@ -146,33 +158,58 @@
         head: Head,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        *,
-        first: bool,
+        carried: Carried,
     ) -> None:
-        request_id = head.headers.get('request-id', '')
-        reply = _Reply(self, request_id, writer, first, self.rng)
+        carried.requests += 1
         if head.target == '/health':
-            writer.write(
-                f'HTTP/1.1 200 OK\r\nInstance-Id: {self.name}\r\n{self.load()}'
-                'Content-Length: 0\r\n\r\n'.encode()
-            )
+            writer.write(self._render_health())
             return
-        if request_id:
-            self.record.record_arrival(request_id, self.visit())
+        request_id = head.headers.get('request-id', '')
+        reply = _Reply(self, request_id, writer, carried, self.rng)
         early = self._answers_early(head)
+        returned = self._record_arrival(head, carried)
         if not early:
             await read_body(reader, head)
+        if returned and self.copies and request_id in carried.refused:
+            await copy_refusal(reply, carried.refused[request_id])
         await self._answer(head, reply)
         if early:
             await read_body(reader, head)
 
+    def _render_health(self) -> bytes:
+        name = f'Instance-Id: {self.name}\r\n'
+        if self.stale_names and self.rng.random() < NAMELESS_SHARE:
+            name = ''
+        return (
+            f'HTTP/1.1 200 OK\r\n{name}{self.load()}'
+            'Content-Length: 0\r\n\r\n'.encode()
+        )
+
+    def _is_misdirected(self, head: Head) -> bool:
+        return head.headers.get('target-instance', self.name) != self.name
+
+    def _record_arrival(self, head: Head, carried: Carried) -> bool:
+        """Record an arrival; return whether its connection had carried it."""
+        request_id = head.headers.get('request-id', '')
+        if not request_id:
+            return False
+        seen = self.record.requests.get(request_id)
+        visit = self.visit(misdirected=self._is_misdirected(head))
+        self.record.record_arrival(request_id, visit)
+        sender = (request_id, seen.gateway if seen else '')
+        self.record.revisits += sender in self._senders
+        self._senders.add(sender)
+        returned = carried.add(request_id)
+        self.record.returned_ids += returned
+        return returned
+
     def _answers_early(self, head: Head) -> bool:
         if head.body_size is not None and head.body_size < EARLY_BYTES:
             return False
         return self.rng.random() < EARLY_SHARE
 
     async def _answer(self, head: Head, reply: _Reply) -> None:
-        if head.headers.get('target-instance', self.name) != self.name:
+        if self._is_misdirected(head):
             await PLAYS['misdirect'](reply)
             return
         if self.waiting >= QUEUE or not await self._wait_for_slot(head):
--- a/wagtailfork/soak/tests/test_record.py
+++ b/wagtailfork/soak/tests/test_record.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from ..record import RequestRecord, Visit
+from ..record import Record, RequestRecord, Visit
 
 
 def make_record(kind: str = 'pay') -> RequestRecord:
@@ -62,3 +62,23 @@
         headers = {'server-signature': 's', 'request-id': 'r1'}
         seen.check_answer(200, headers, b'own')
         self.assertEqual('', seen.broken_rule())
+
+
+class TestRecord(testtools.TestCase):
+    """Verdicts on requests whose id is sent more than once."""
+
+    def test_run_after_an_id_was_sent_again(self) -> None:
+        """Both sends of an id are refused, and one of them runs."""
+        record = Record()
+        for _ in range(2):
+            seen = record.requests.get('r1')
+            if seen is not None:
+                self.assertTrue(seen.may_come_again)
+                record.set_aside(seen)
+            record.requests['r1'] = make_record()
+            record.requests['r1'].check_answer(503, {}, b'')
+        self.assertEqual([], record.broken())
+        record.record_run('r1', Visit(1, 'b0'))
+        self.assertFalse(record.requests['r1'].may_come_again)
+        self.assertEqual(['REFUSED'], [rule for rule, _ in record.broken()])
+        self.assertEqual(2, record.answered())
--- a/wagtailfork/soak/tests/test_soak.py
+++ b/wagtailfork/soak/tests/test_soak.py
@@ -13,6 +13,8 @@
 from ..record import Record
 
 SECONDS: Final = 12.0
+SHORT_SECONDS: Final = 5.0
+MIN_REVISITS: Final = 20
 MIN_ANSWERS: Final = 20  # of each of the two kinds, or the run proves nothing
 
 
@@ -40,3 +42,22 @@
                 found for key, found in record.answers.items() if kind in key
             )
             self.assertGreaterEqual(count, MIN_ANSWERS, kind)
+
+    def test_copied_refusals_answer_nothing(self) -> None:
+        """Regression: a copy was taken for the answer to a later send.
+
+        Servers have a second entry and callers send refused ids again, so
+        that ids come back to a server, yet never on the same connection.
+        """
+        plan = SoakPlan(
+            seed=39,
+            seconds=SHORT_SECONDS,
+            gateways=2,
+            servers=6,
+            callers=20,
+            disrupted=False,
+        )
+        record = play(plan)
+        self.assertEqual([], record.broken())
+        self.assertEqual(0, record.returned_ids)
+        self.assertGreaterEqual(record.revisits, MIN_REVISITS)
