Show alone that bytes on an idle connection end its reuse, own interface

A server that answers once more while its connection is idle: the next request must get its own answer on a new connection.

--- a/wagtailfork/routing/tests/test_upstream.py
+++ b/wagtailfork/routing/tests/test_upstream.py
@@ -12,7 +12,10 @@
 from ..upstream import Upstream, UpstreamRequest
 
 ANSWER = b'HTTP/1.1 %b\r\nx-request-id: r1\r\nContent-Length: 0\r\n\r\n'
+LATE_S = 0.02  # of a copy that arrives while its connection is idle
+IDLE_S = 0.1
 REFUSAL = ANSWER % b'503 Full\r\nwagtailfork-shed: 1'
+REQUEST_ID = 'x-request-id'
 RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
 
 
@@ -29,6 +32,18 @@
     writer.close()
 
 
+def make_endpoint(listener: asyncio.Server) -> Endpoint:
+    """Return the endpoint of a server on loopback."""
+    port = listener.sockets[0].getsockname()[1]
+    backend = Backend(
+        service='s',
+        address=f'127.0.0.1:{port}',
+        region='r',
+        failure_domain='a',
+    )
+    return Endpoint('b0', backend)
+
+
 @attrs.define(eq=False)
 class CopyingServer:
     """Refuse one request; repeat that on its connection before an answer."""
@@ -52,6 +67,27 @@
         writer.close()
 
 
+@attrs.define(eq=False)
+class LateCopyServer:
+    """Answer a request, and send its answer once more while idle."""
+
+    connections: int = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer with the path of the request as its id."""
+        self.connections += 1
+        while line := await reader.readline():
+            await reader.readuntil(b'\r\n\r\n')
+            request_id = line.split(b' ')[1].strip(b'/')
+            answer = RESPONSE.replace(b'OK', b'OK\r\nx-request-id: %b')
+            writer.write(answer % request_id)
+            await asyncio.sleep(LATE_S)
+            writer.write(answer % request_id)
+        writer.close()
+
+
 class TestReuse(testtools.TestCase):
     """Whether a response came on a connection that carried another."""
 
@@ -70,18 +106,38 @@
         )
         self.assertEqual(1, server.refusals)
 
+    def test_late_copy_while_idle_ends_the_reuse(self) -> None:
+        """A second answer arrives before the next request is sent."""
+        asyncio.run(self._send_after_a_late_copy())
+
+    async def _send_after_a_late_copy(self) -> None:
+        server = LateCopyServer()
+        listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+        endpoint = make_endpoint(listener)
+        upstream = Upstream()
+        found = []
+        for request_id in ('r1', 'r2', 'r3'):
+            req = UpstreamRequest(
+                method='GET',
+                target=f'/{request_id}',
+                headers=(),
+                body=b'',
+                request_id=request_id,
+            )
+            response = await upstream.send(endpoint, req, 1)
+            await response.read()
+            found.append(response.headers[REQUEST_ID])
+            await asyncio.sleep(IDLE_S)
+        await upstream.close()
+        listener.close()
+        self.assertEqual(['r1', 'r2', 'r3'], found)
+        self.assertEqual(3, server.connections)
+
     async def _send(
         self, server: Serve, ids: tuple[str | None, ...]
     ) -> list[tuple[int, bool]]:
         listener = await asyncio.start_server(server, '127.0.0.1', 0)
-        port = listener.sockets[0].getsockname()[1]
-        backend = Backend(
-            service='s',
-            address=f'127.0.0.1:{port}',
-            region='r',
-            failure_domain='a',
-        )
-        endpoint = Endpoint('b0', backend)
+        endpoint = make_endpoint(listener)
         upstream = Upstream()
         found = []
         for request_id in ids:
