Take no unnamed answer for another request's on the own interface

Callers got the answer to an earlier request: a server that echoes no id and sends an answer once more, where the next one is due on its kept connection. An answer without an id was checked only if it was a shed; any other counted as the request's own (read in _check_response; draining in it was believed too).

Now an answer without an id counts only as the first one of its connection, as on the platform's path, and that connection carries nothing more. So a server that never echoes costs a connection a request and loses none; one that does echo keeps its connections. What that costs was not measured.

Ruled out: refusing unnamed answers on kept connections alone, as every second request to a server that echoes no id would be lost.

--- a/wagtailfork/proxy/sender.py
+++ b/wagtailfork/proxy/sender.py
@@ -228,24 +228,27 @@
                 ResultCode.connection_lost,
                 f'{endpoint.name} answered request {echo_id[:MAX_FIELD_BYTES]}',
             )
+        if hdrs.REQUEST_ID not in response.headers:
+            self._check_unnamed(endpoint, response)
         if hdrs.DRAINING in response.headers:
             self._pool.on_draining(endpoint)
         if _is_shed(response):
-            self._check_shed(endpoint, response)
             response.release()
             raise WagtailforkError(ResultCode.backend_shed, endpoint.name)
 
-    def _check_shed(self, endpoint: Endpoint, response: ClientResponse) -> None:
-        """Raise ``connection_lost`` if it may be about an earlier request."""
-        if hdrs.REQUEST_ID in response.headers:
-            return
+    def _check_unnamed(
+        self, endpoint: Endpoint, response: ClientResponse
+    ) -> None:
+        """Raise ``connection_lost`` if it may answer an earlier request."""
         if not self._upstream.on_reused_connection(response):
+            # A copy of it could not be told from the next response.
+            self._upstream.end_connection(response)
             return
         response.close()
         self._upstream.retire(endpoint.backend.address)
         raise WagtailforkError(
             ResultCode.connection_lost,
-            f'{endpoint.name} shed without an id on a kept connection',
+            f'{endpoint.name} answered without an id on a kept connection',
         )
 
     def _far_link(self, endpoint: Endpoint) -> LinkBudget | None:
--- a/wagtailfork/proxy/tests/test_sender.py
+++ b/wagtailfork/proxy/tests/test_sender.py
@@ -60,6 +60,9 @@
         """Return what the test says."""
         return self.reused
 
+    def end_connection(self, _response: Any) -> None:
+        """Keep no connections."""
+
     def retire(self, _address: str) -> None:
         """Keep no connections."""
 
@@ -95,6 +98,7 @@
         """A shed without an id on a kept connection may be an earlier one."""
         for named, reused, denied, expected in (
             (False, True, False, ResultCode.connection_lost),
+            (False, True, True, ResultCode.connection_lost),
             (False, False, False, ResultCode.backend_shed),
             (True, True, False, ResultCode.backend_shed),
             (False, False, True, None),
--- a/wagtailfork/routing/upstream.py
+++ b/wagtailfork/routing/upstream.py
@@ -108,10 +108,11 @@
 
 @attrs.define(eq=False)
 class _Exchange:
-    """Hold the id of a request and whether its connection was used before."""
+    """Hold the id of a request, its connection, and whether that was used."""
 
     request_id: str | None
     reused: bool = False
+    protocol: Any = None
 
 
 _exchange: ContextVar[_Exchange | None] = ContextVar('exchange', default=None)
@@ -144,6 +145,7 @@
             conn.close()
         if exchange is not None:
             exchange.reused = bool(carried.count)
+            exchange.protocol = protocol
         carried.add(request_id)
         return conn
 
@@ -196,8 +198,8 @@
     _retired: list[ClientSession] = attrs.field(factory=list)
     _probe_tasks: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     retirements: int = 0
-    _on_reused: weakref.WeakSet[ClientResponse] = attrs.field(
-        factory=weakref.WeakSet
+    _exchanges: weakref.WeakKeyDictionary[ClientResponse, _Exchange] = (
+        attrs.field(factory=weakref.WeakKeyDictionary)
     )
 
     async def send(
@@ -235,13 +237,20 @@
             raise UpstreamError(_loss_kind(req.body), repr(exc)) from exc
         finally:
             _exchange.reset(token)
-        if exchange.reused:
-            self._on_reused.add(response)
+        self._exchanges[response] = exchange
         return response
 
     def on_reused_connection(self, response: ClientResponse) -> bool:
         """Return whether its connection carried another exchange before."""
-        return response in self._on_reused
+        return self._exchanges[response].reused
+
+    def end_connection(self, response: ClientResponse) -> None:
+        """Let no further request follow on the connection of a response."""
+        protocol = self._exchanges[response].protocol
+        protocol.force_close()
+        if response.connection is None:
+            # It is idle already, as the whole response came with its head.
+            protocol.close()
 
     def check_connections(self, endpoint: Endpoint) -> None:
         """Probe on a new connection; if it answers, retire the existing ones.
