--- a/wagtailfork/gateway/sender.py
+++ b/wagtailfork/gateway/sender.py
@@ -356,7 +356,7 @@
         return _failure_fault(metadata, call)
     if not metadata.signed:
         return 'answer_unsigned'
-    if metadata.request_id != call.metadata.request_id:
+    if (metadata.request_id or '') != call.metadata.request_id:
         return 'answer_without_id'
     return ''
 
--- a/wagtailfork/standin/scripted_backend.py
+++ b/wagtailfork/standin/scripted_backend.py
@@ -42,7 +42,7 @@
         f'Server-Signature: s.1\r\n{extra}'
         f'Content-Length: {len(body)}\r\n\r\n'
     )
-    return head.encode() + body
+    return head.encode('latin-1') + body
 
 
 async def serve_request(
@@ -229,7 +229,7 @@
 
 
 async def _read_request(reader: asyncio.StreamReader) -> ReceivedRequest:
-    head = (await reader.readuntil(_HEAD_END)).decode()
+    head = (await reader.readuntil(_HEAD_END)).decode('latin-1')
     request_line, *header_lines = head.rstrip().split('\r\n')
     method, path = request_line.split(' ')[:2]
     pairs = [line.split(': ', 1) for line in header_lines]
