Keep no connection that has carried a request without an id

A late copy of the answer to such a request bears no id, so on a kept connection it passed for the answer to the next health check, with its load and limit. Now nothing follows on that connection, as on the own interface. Requests that bear an id are not touched.

--- a/wagtailfork/gateway/tests/test_skipped_answers.py
+++ b/wagtailfork/gateway/tests/test_skipped_answers.py
@@ -13,7 +13,7 @@
     render_response,
     serve_request,
 )
-from .rig import Rig, run_scenario
+from .rig import HOST, Rig, run_scenario
 
 CALLS = 6
 AGING_S = 3 * FRESH_REPORT_S  # so that a probe comes before the next request
@@ -23,6 +23,9 @@
     'Not-Executed: 1\r\nRetry-After: 60\r\nServer-Leaving: 1\r\n'
     'Server-Limit: 0.5\r\nServer-Load: 9,9,9,900\r\nKeep-Alive: timeout=1\r\n'
 )
+UNNAMED_HEAD = (
+    f'POST /pay/1 HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 1\r\n\r\n'
+).encode()
 OWN_LIMIT = 1000.0
 HEALTH_PATH = '/health'
 
@@ -83,6 +86,33 @@
         """It bears no id, so it may be taken for the answer to a probe."""
         run_scenario(self._copy_health)
 
+    def test_no_probe_after_a_request_without_an_id(self) -> None:
+        """A copy of its answer passed for the answer to a health check."""
+        run_scenario(self._pay_unnamed)
+
+    async def _pay_unnamed(self, rig: Rig) -> None:
+        used: set[Writer] = set()
+        probed: list[Writer] = []
+
+        async def record(
+            _backend: ScriptedBackend, req: ReceivedRequest, writer: Writer
+        ) -> None:
+            if not _is_probe(req):
+                used.add(writer)
+            elif writer in used:
+                probed.append(writer)
+
+        await rig.start(backends=1)
+        rig.backends['b0'].prelude = record
+        rig.backends['b0'].script = answer_plainly
+        address = rig.nodes[0].cfg.caller_address
+        for _ in range(CALLS):
+            response = await rig.send_raw(address, UNNAMED_HEAD, b'x')
+            self.assertEqual(OK, response.status)
+            await asyncio.sleep(AGING_S)
+        self.assertEqual([], probed)
+        self.assertEqual(CALLS, len(used))
+
     async def _skip(self, rig: Rig, *, probes: bool) -> None:
         await rig.start(backends=1)
         copying = CopyingBackend(probes=probes)
--- a/wagtailfork/http1/carried_ids.py
+++ b/wagtailfork/http1/carried_ids.py
@@ -14,7 +14,8 @@
     A server may send an answer again at any later time, and the copy names
     the same request. So an answer belongs to a request only if its id was
     sent once on the connection, and an answer without an id only if the
-    connection carried nothing before.
+    connection carried nothing before. Nothing follows on such a connection,
+    as a copy could pass for the answer to a health check.
 
     >>> carried = CarriedIds()
     >>> carried.add('r1')
@@ -26,11 +27,12 @@
 
     count: int = 0  # of all requests, those without an id too
     _digests: set[int] = attrs.field(factory=set)
+    _unnamed: bool = False  # a request without an id was sent
 
     @property
     def full(self) -> bool:
-        """Return whether no more ids are recorded."""
-        return len(self._digests) >= MAX_IDS
+        """Return whether no other request may follow."""
+        return self._unnamed or len(self._digests) >= MAX_IDS
 
     def may_carry(self, request_id: str | None) -> bool:
         """Return whether the answers to a request can be told from others.
@@ -47,5 +49,7 @@
     def add(self, request_id: str | None) -> None:
         """Record a request that is sent."""
         self.count += 1
-        if request_id is not None:
+        if request_id:
             self._digests.add(hash(request_id))
+        elif request_id is not None:
+            self._unnamed = True
