Refuse parts of a handover whose start is missing

A part names its range, not its handover, and a handover that failed is repeated. A late last part of the earlier one completed the table of the repeated one, and the last part of that then passed for a whole table: 1 of 1001 keys, so that the other keys could be claimed, and their requests run, once more.

claims/tests/test_handover.py, three runs before: both tests fail (accepted; one key left). After: pass, three runs; claims/ and tests/test_rolling.py pass once. A handover with such a part fails and is repeated.

--- a/wagtailfork/claims/handover.py
+++ b/wagtailfork/claims/handover.py
@@ -46,14 +46,16 @@
             raise WagtailforkError(ResultCode.wrong_incarnation, part.member)
         now = time.monotonic()
         self._evict_expired(now)
-        record = self._partial.get(part.range_id)
-        if record is None or part.is_first:
-            record = RangeRecord(
+        if part.is_first:
+            self._partial[part.range_id] = RangeRecord(
                 ClaimTable(floor=part.floor),
                 part.slot_now,
                 now,
             )
-            self._partial[part.range_id] = record
+        record = self._partial.get(part.range_id)
+        if record is None:
+            # A late part of an earlier handover must not pass for a table.
+            raise WagtailforkError(ResultCode.range_unreachable, part.range_id)
         for entry in part.claims:
             record.table.insert(entry.slot, entry.key, _from_message(entry))
         if part.is_last:
