Let the soak play links: delay, bandwidth, silence, cuts and resets

Three kinds of disruptions come with it: silence_link (open connections for good, new ones work), cut_one_way (up to 3 s, held back, then delivered), reset_link. A quarter of them hit a gateway's link and count as trouble of that gateway; the others excuse LOST and DRAIN for requests at the server behind the link. REFUSED, TWICE and MIXED are judged always.

Not linked: the store and the gateways' own traffic.

--- a/wagtailfork/cli/soak.py
+++ b/wagtailfork/cli/soak.py
@@ -14,6 +14,7 @@
 from ..soak.answers import GROUPS
 from ..soak.deployment import Deployment
 from ..soak.disruptions import KINDS
+from ..soak.link_disruptions import LINK_KINDS
 from ..soak.plan import MAX_GATEWAYS, MAX_SECONDS, SoakPlan
 from ..soak.record import Record
 
@@ -55,6 +56,18 @@
     default='',
     help='Kinds of disruptions, separated by commas; default: all.',
 )
+@click.option(
+    '--link-ms',
+    default=0.0,
+    type=click.FloatRange(0),
+    help='One-way delay before each server and gateway.',
+)
+@click.option(
+    '--link-mbps',
+    default=0.0,
+    type=click.FloatRange(0),
+    help='Bandwidth there, each way; 0: no limit.',
+)
 @click.option(
     '--checkout',
     default='',
@@ -74,9 +87,11 @@
     The verdict rests only on what callers and backend servers saw. Exit
     status: 0 all rules held, 1 a rule was broken.
     """
+    linked = options['link_ms'] or options['link_mbps']
+    kinds = (*KINDS, *LINK_KINDS) if linked else KINDS
     plan = SoakPlan(
         answers=_split(answers, GROUPS, '--answers'),
-        disruptions=_split(disruptions, KINDS, '--disruptions'),
+        disruptions=_split(disruptions, kinds, '--disruptions'),
         **options,  # type: ignore[arg-type]
     )
     with tempfile.TemporaryDirectory() as name:
@@ -119,6 +134,7 @@
     _print_counts('plays', record.plays)
     _print_counts('statuses', record.statuses())
     _print_counts('disruptions', record.disruptions)
+    _print_counts('links', record.links)
     for rule, seen in record.broken():
         _print_line(
             rule,
--- a/wagtailfork/soak/deployment.py
+++ b/wagtailfork/soak/deployment.py
@@ -19,6 +19,8 @@
 from .callers import LONGEST_DEADLINE_S, PATIENCE_S, Caller
 from .disruptions import Disruptor
 from .gateways import GatewayProcess
+from .link_disruptions import LinkDisruptor
+from .links import Links
 from .memory import MemoryWatch
 from .plan import PAYMENT_SERVICES, REGIONS, SERVICES, SoakPlan
 from .record import Record
@@ -31,6 +33,8 @@
 READY_POLL_S: Final = 0.1
 ROUTE_TIMEOUT_MS: Final = 9000
 OBJECTIVE_MS: Final = 1500
+_MS: Final = 1000
+END_S: Final = 0.2  # for connections that were reset at the end
 SETTLE_S: Final = 2.0  # after the last request, for runs that come late
 _TYPES: Final = {'stock': 'safe', 'pay': 'unsafe', 'snap': 'upload'}
 _PREFIXES: Final = {'stock': '/look/', 'pay': '/pay/', 'snap': '/snap/'}
@@ -47,8 +51,17 @@
     servers: list[SoakServer] = attrs.field(factory=list)
     gateways: list[GatewayProcess] = attrs.field(factory=list)
     rules: TimedRules = attrs.field(factory=TimedRules)
+    links: Links = attrs.field(init=False)
     _version: int = 0
 
+    def __attrs_post_init__(self) -> None:
+        """Make the links of the plan."""
+        self.links = Links(
+            delay_s=self.plan.link_ms / _MS,
+            mbps=self.plan.link_mbps,
+            played=self.record.links,
+        )
+
     async def run(self) -> Record:
         """Play the plan; return what callers and servers saw."""
         # The store's calls end with the gateways that wait for them.
@@ -65,6 +78,8 @@
                 gateway.end()
             for server in self.servers:
                 server.crash()
+            self.links.close()
+            await asyncio.sleep(END_S)
             store_task.cancel()
         return self.record
 
@@ -82,6 +97,7 @@
                 checkout=self.plan.checkout,
             )
             self.gateways.append(gateway)
+            await self.links.open(gateway.address)
             gateway.start()
         async with asyncio.timeout(START_LIMIT_S):
             for started in self.gateways:
@@ -100,6 +116,7 @@
             weights=weights_of(self.plan.answers),
         )
         await server.start()
+        await self.links.open(server.address)
         self.servers.append(server)
         self._register(server)
 
@@ -129,7 +146,10 @@
         self._record_processes(memory)
 
     def _record_processes(self, memory: MemoryWatch) -> None:
-        disruptions = {one.address: one.disruptions for one in self.gateways}
+        disruptions = {
+            self.links.reach(one.address): one.disruptions
+            for one in self.gateways
+        }
         self.record.late = self.rules.judge(self.record.requests, disruptions)
         self.record.judged_in_touch = self.rules.judged
         self.record.excessive = memory.excessive()
@@ -139,9 +159,18 @@
         ]
 
     def _addresses(self) -> list[str]:
-        return [one.address for one in self.gateways]
+        return [self.links.reach(one.address) for one in self.gateways]
 
     def _make_disruptor(self, rng: random.Random) -> Disruptor:
+        busy: set[str] = set()
+        link_disruptor = LinkDisruptor(
+            links=self.links,
+            gateways=self.gateways,
+            servers=self.servers,
+            rng=random.Random(self.plan.seed),  # noqa: S311
+            excuses=self.rules.links,
+            busy=busy,
+        )
         return Disruptor(
             gateways=self.gateways,
             servers=self.servers,
@@ -155,11 +184,16 @@
             change_configuration=self._change_configuration,
             kinds=self.plan.disruptions,
             store_disruptions=self.rules.store,
+            link_kinds=link_disruptor.kinds(),
+            busy=busy,
         )
 
     def _register(self, server: SoakServer) -> None:
-        entry = json.dumps(server.entry()).encode()
-        self.store.put(SERVERS_TOPIC, server.name, entry)
+        entry = {
+            **server.entry(),
+            'address': self.links.reach(server.address),
+        }
+        self.store.put(SERVERS_TOPIC, server.name, json.dumps(entry).encode())
 
     def _change_configuration(self) -> None:
         self._version += 1
--- a/wagtailfork/soak/disruptions.py
+++ b/wagtailfork/soak/disruptions.py
@@ -58,6 +58,7 @@
     change_configuration: Callable[[], None]
     kinds: tuple[str, ...]  # empty: all
     store_disruptions: Disruptions
+    link_kinds: 'dict[str, Callable[[], Awaitable[None]]]'  # empty: no links
     _busy: set[str] = attrs.field(factory=set)
 
     async def run(self, until_s: float) -> None:
@@ -66,8 +67,8 @@
         await asyncio.gather(*(self._series(until_s) for _ in range(count)))
 
     async def _series(self, until_s: float) -> None:
-        kinds = self._kinds()
-        names = self.kinds or KINDS
+        kinds = {**self._kinds(), **self.link_kinds}
+        names = self.kinds or (*KINDS, *self.link_kinds)
         while now_s() < until_s:
             await asyncio.sleep(self.rng.expovariate(1 / GAP_S))
             name = self.rng.choice(names)
--- a/wagtailfork/soak/plan.py
+++ b/wagtailfork/soak/plan.py
@@ -30,6 +30,9 @@
     callers: int = attrs.field(default=60, validator=attrs.validators.ge(1))
     # Groups of answers, see ``answers.GROUPS``.
     answers: tuple[str, ...] = ('faulty', 'stated')
+    # Of the links before servers and gateways; both 0: no links.
+    link_ms: float = attrs.field(default=0, validator=attrs.validators.ge(0))
+    link_mbps: float = attrs.field(default=0, validator=attrs.validators.ge(0))
     disrupted: bool = True
     disruptions: tuple[str, ...] = ()  # kinds; empty: all
     checkout: str = ''  # of the build to run; empty: the installed one
--- a/wagtailfork/soak/record.py
+++ b/wagtailfork/soak/record.py
@@ -83,6 +83,7 @@
     answers: Counter[str] = attrs.field(factory=Counter)
     plays: Counter[str] = attrs.field(factory=Counter)
     disruptions: Counter[str] = attrs.field(factory=Counter)
+    links: Counter[str] = attrs.field(factory=Counter)
     # Requests that broke a rule which holds only for gateways in touch.
     late: list[tuple[str, RequestRecord]] = attrs.field(factory=list)
     judged_in_touch: int = 0
--- a/wagtailfork/soak/timed_rules.py
+++ b/wagtailfork/soak/timed_rules.py
@@ -1,6 +1,6 @@
 """Rules that hold for gateways in touch, some time after a change."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 import attrs
@@ -17,6 +17,8 @@
     """Judge requests by what was in force when they were sent."""
 
     store: Disruptions = attrs.field(factory=Disruptions)
+    # What was done to the link before a server, by the server's name.
+    links: dict[str, Disruptions] = attrs.field(factory=dict)
     # Time of each configuration and the service that it sends payments to.
     versions: list[tuple[float, str]] = attrs.field(factory=list)
     judged: int = 0  # requests whose gateway was in touch
@@ -35,7 +37,9 @@
         return found
 
     def _broken_rule(self, seen: RequestRecord, gateway: Disruptions) -> str:
-        if is_lost(seen, gateway):
+        if is_lost(seen, gateway) and not self._is_held_up(
+            seen.arrivals, seen.sent_s, seen.cut_s
+        ):
             return 'LOST'
         if any(not self._is_served_by(seen, run) for run in seen.runs):
             return 'ROUTE'
@@ -45,12 +49,24 @@
         if not calm:
             return ''
         self.judged += 1
-        if any(is_late_arrival(seen, each) for each in seen.arrivals):
-            return 'DRAIN'
+        for arrival in seen.arrivals:
+            held_up = self._is_held_up((arrival,), arrival.at_s, arrival.at_s)
+            if is_late_arrival(seen, arrival) and not held_up:
+                return 'DRAIN'
         if any(self._is_outdated(seen, run) for run in seen.runs):
             return 'CONFIG'
         return ''
 
+    def _is_held_up(
+        self, visits: Iterable[Visit], since_s: float, until_s: float
+    ) -> bool:
+        """Return whether a link to one of the servers was disrupted."""
+        return any(
+            visit.server in self.links
+            and self.links[visit.server].is_troubled(since_s, until_s)
+            for visit in visits
+        )
+
     def _is_served_by(self, seen: RequestRecord, run: Visit) -> bool:
         """Return whether any configuration sends the request there.
 
