--- a/wagtailfork/cli/tests/test_soak.py
+++ b/wagtailfork/cli/tests/test_soak.py
@@ -18,3 +18,11 @@
             self.assertEqual(WRONG_USAGE, outcome.exit_code)
             self.assertIn(option, outcome.output)
             self.assertIn("'nope'", outcome.output)
+
+    def test_disruptions_of_links_need_links(self) -> None:
+        """Without figures of links there is nothing to disrupt."""
+        outcome = CliRunner().invoke(
+            main, ['soak', '--disruptions', 'reset_link']
+        )
+        self.assertEqual(WRONG_USAGE, outcome.exit_code)
+        self.assertIn("'reset_link'", outcome.output)
--- a/wagtailfork/soak/links.py
+++ b/wagtailfork/soak/links.py
@@ -200,7 +200,7 @@
         )
 
     def silence(self) -> None:
-        """Lose track of all open connections; new ones work."""
+        """Silence all open connections for good; new ones work."""
         self.played['silenced'] += len(self.connections)
         for conn in self.connections:
             conn.silence()
