Start no placement for a request that has ended

A placement is known by its VM and number, and its end is sent twice. A copy of its request that came between the two ends got another slot, and the second end was taken for that of the other server, which was ejected though it was never used; one that came after a withdrawal held a slot until its deadline. The coordinator now knows ended requests for 1 s. Only datagrams that overtake each other do this; found by reading, never seen in a run.

test_placements.py TestLateMessages in virtual time, three runs with the check taken out: two servers ejected in place of one, one slot held. With it: pass, three runs. A late grant for a withdrawn number was ignored before as well. test_placements.py, test_limit_shares.py and test_node.py: 48 passed, one run.

--- a/wagtailfork/gateway/placement_coordinator.py
+++ b/wagtailfork/gateway/placement_coordinator.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import Final
 
@@ -32,6 +33,7 @@
 
 QUEUED_NOTICE_S: Final = 0.01  # later than most placements
 LEASE_MARGIN_S: Final = 0.5  # beyond the deadline of a request
+ENDED_S: Final = 1.0  # for which a request that ended is known; many hops
 MAX_PLACEMENTS: Final = 5000  # bounds the memory, at some 2 KB each
 _MS: Final = 1000
 _RESPONDED: Final = frozenset((Outcome.succeeded, Outcome.failed))
@@ -59,16 +61,26 @@
     is_neighbour: Callable[[str], bool]  # a live VM of the failure domain
     limits: LimitRecorder
     _placements: dict[_Key, _Placement] = attrs.field(factory=dict)
+    # When requests ended, the oldest first.
+    _ended_at_s: OrderedDict[_Key, float] = attrs.field(factory=OrderedDict)
 
     @property
     def size(self) -> int:
         """Count the placements that are queued or in use."""
         return len(self._placements)
 
+    @property
+    def remembered(self) -> int:
+        """Count the ended requests that are known."""
+        return len(self._ended_at_s)
+
     def handle_request(self, message: PlacementRequest) -> None:
         """Place a request, or repeat the response to it."""
         key = (message.sender, message.number)
         placement = self._placements.get(key)
+        if key in self._ended_at_s:
+            # A late copy: its sender would not use another slot.
+            return
         if placement is None:
             self._start(key, message)
         elif placement.candidate is None:
@@ -80,6 +92,7 @@
     def handle_ended(self, message: PlacementEnded) -> None:
         """Take a slot back, or remove a request from the queue."""
         key = (message.sender, message.number)
+        self._remember_ended(key, now_s())
         placement = self._placements.get(key)
         if placement is None:
             return
@@ -105,6 +118,11 @@
         for key in expired:
             self._release(key)
 
+    def _remember_ended(self, key: _Key, now: float) -> None:
+        self._ended_at_s.setdefault(key, now)
+        while now - next(iter(self._ended_at_s.values())) >= ENDED_S:
+            self._ended_at_s.popitem(last=False)
+
     def _start(self, key: _Key, message: PlacementRequest) -> None:
         sender = [message.sender]
         if len(self._placements) >= MAX_PLACEMENTS:
--- a/wagtailfork/gateway/tests/test_placements.py
+++ b/wagtailfork/gateway/tests/test_placements.py
@@ -26,8 +26,12 @@
 from ...routing.load import LoadReport, ServerLoad
 from ...routing.queued_request import QueuedRequest, Refused
 from ..limit_recorder import LimitRecorder
-from ..placement_client import PlacementClient
-from ..placement_coordinator import LEASE_MARGIN_S, PlacementCoordinator
+from ..placement_client import SILENCE_S, PlacementClient
+from ..placement_coordinator import (
+    ENDED_S,
+    LEASE_MARGIN_S,
+    PlacementCoordinator,
+)
 from .virtual_time import now_s, run_virtual
 
 SERVICE = 'stock'
@@ -40,6 +44,7 @@
 HOP_S = 0.0003
 LOAD = 0.8  # of all slots
 REQUESTS = 6000
+SETTLE_S = 0.05
 
 
 @attrs.define(eq=False)
@@ -337,6 +342,81 @@
         self.assertEqual(0, waiting)
 
 
+class TestLateMessages(testtools.TestCase):
+    """Datagrams that arrive late or once more concern no other placement."""
+
+    def test_request_after_its_end(self) -> None:
+        """The repeated end was taken for that of another server's slot."""
+        run_virtual(self._end_twice())
+
+    def test_request_after_it_was_withdrawn(self) -> None:
+        """It held a slot until its deadline."""
+        run_virtual(self._withdraw())
+
+    def test_grant_after_a_withdrawal(self) -> None:
+        """No request waits for it, and none takes it for its own."""
+        run_virtual(self._grant_late())
+
+    async def _end_twice(self) -> None:
+        fleet = Fleet()
+        coordinator = fleet.coordinator
+        request, ended = _messages(fleet)
+        for message in (request, ended, request, ended):
+            coordinator.receive(message)
+            await asyncio.sleep(SETTLE_S)
+        servers = coordinator.queue.table.servers.values()
+        ejected = [one for one in servers if one.load.ejected_until_s]
+        self.assertEqual(1, len(ejected))
+        self.assertEqual(0, coordinator.coordinator.size)
+
+    async def _withdraw(self) -> None:
+        fleet = Fleet()
+        coordinator = fleet.coordinator
+        request, ended = _messages(fleet)
+        for message in (ended, request):
+            coordinator.receive(message)
+            await asyncio.sleep(SETTLE_S)
+        self.assertEqual(0, coordinator.coordinator.size)
+        await asyncio.sleep(ENDED_S)
+        coordinator.receive(attrs.evolve(request, number=request.number + 1))
+        coordinator.receive(attrs.evolve(ended, number=request.number + 1))
+        self.assertEqual(1, coordinator.coordinator.remembered)
+
+    async def _grant_late(self) -> None:
+        fleet = Fleet()
+        other = _other_than_coordinator(fleet)
+        fleet.silent.add(fleet.coordinator.membership.me.address)
+        await fleet.call(other)
+        withdrawn = other.client._last_number
+        self.assertFalse(other.client.handle_response(Placed(withdrawn, 's0')))
+        fleet.silent.clear()
+        await asyncio.sleep(SILENCE_S)
+        call = asyncio.create_task(fleet.call(other))
+        await asyncio.sleep(0)
+        self.assertEqual(withdrawn + 1, other.client._last_number)
+        self.assertFalse(other.client.handle_response(Placed(withdrawn, 's0')))
+        await call
+        self.assertEqual(2, len(fleet.all_latencies_s()))
+
+
+def _messages(fleet: Fleet) -> tuple[PlacementRequest, PlacementEnded]:
+    """Return the request for a placement and its end at a lost server."""
+    sender = _other_than_coordinator(fleet).membership.me.address
+    request = PlacementRequest(
+        sender=sender,
+        number=7,
+        service=SERVICE,
+        rank=1,
+        age_ms=0,
+        objective_ms=500,
+        deadline_ms=4000,
+        service_ms=200,
+        kilobytes=1,
+    )
+    ended = PlacementEnded(sender=sender, number=7, outcome=Outcome.unreachable)
+    return request, ended
+
+
 async def _play_at(fleet: Fleet, vms: list[Vm]) -> None:
     everyone = fleet.vms
     fleet.vms = {vm.membership.me.address: vm for vm in vms}
