Have each exchange name its request's id, or say that it has none

The id is a required argument now, None for health checks, the store and messages between VMs; the same for the requests of the own interface.

--- a/wagtailfork/fleet/delivery.py
+++ b/wagtailfork/fleet/delivery.py
@@ -46,7 +46,7 @@
     body.finish()
     conn = await connect(host, int(port), POST_TIMEOUT_S)
     try:
-        response = await conn.exchange(head, body)
+        response = await conn.exchange(head, body, request_id=None)
     finally:
         conn.close()
     return response.status
--- a/wagtailfork/fleet/snapshots.py
+++ b/wagtailfork/fleet/snapshots.py
@@ -184,7 +184,7 @@
     host, _, port = address.rpartition(':')
     conn = await connect(host, int(port), FETCH_TIMEOUT_S)
     try:
-        response = await conn.exchange(head)
+        response = await conn.exchange(head, request_id=None)
         response.body.replay_limit_bytes = MAX_SNAPSHOT_BYTES
         await response.body.wait_buffered()
     finally:
--- a/wagtailfork/gateway/metrics.py
+++ b/wagtailfork/gateway/metrics.py
@@ -135,7 +135,7 @@
         ),
         (
             'wagtailfork_repeated_ids',
-            'Requests whose id all idle connections had carried',
+            'Connections replaced, as none idle could carry the id',
             node.pool.repeated_ids,
         ),
         ('wagtailfork_limited_servers', 'Servers that name a limit', limited),
--- a/wagtailfork/gateway/prober.py
+++ b/wagtailfork/gateway/prober.py
@@ -113,7 +113,9 @@
         )
         try:
             response = await conn.exchange(
-                self._render_head(server), accept=self._is_own_response
+                self._render_head(server),
+                accept=self._is_own_response,
+                request_id=None,
             )
             await response.body.wait_buffered()
         except BaseException:
--- a/wagtailfork/gateway/tests/rig.py
+++ b/wagtailfork/gateway/tests/rig.py
@@ -183,7 +183,7 @@
         payload.feed(body)
         payload.finish()
         try:
-            response = await conn.exchange(head, payload)
+            response = await conn.exchange(head, payload, request_id=None)
             await response.body.wait_buffered()
         finally:
             conn.close()
--- a/wagtailfork/gateway/tests/test_planned_stop.py
+++ b/wagtailfork/gateway/tests/test_planned_stop.py
@@ -201,7 +201,7 @@
             ],
         )
         try:
-            response = await conn.exchange(head)
+            response = await conn.exchange(head, request_id=None)
             await response.body.wait_buffered()
         except (RequestNotSent, ResponseError):
             break
--- a/wagtailfork/http1/backend.py
+++ b/wagtailfork/http1/backend.py
@@ -129,7 +129,7 @@
         body: Body | None = None,
         accept: Accept = _accept_all,
         *,
-        request_id: str | None = None,
+        request_id: str | None,
         head_only: bool = False,
     ) -> BackendResponse:
         """Send one request and wait for the head of its response.
--- a/wagtailfork/http1/pool.py
+++ b/wagtailfork/http1/pool.py
@@ -20,7 +20,7 @@
     """Keep idle connections by address; close them before servers do."""
 
     opened_count: int = 0
-    # Requests whose id the idle connections to their server had carried.
+    # Connections replaced, as none that was idle could carry the request.
     repeated_ids: int = 0
     once_idle_limit_s: float = ONCE_IDLE_LIMIT_S
     _idle: dict[str, list[BackendConnection]] = attrs.field(factory=dict)
--- a/wagtailfork/http1/tests/test_backend.py
+++ b/wagtailfork/http1/tests/test_backend.py
@@ -77,7 +77,9 @@
 
     async def _use_busy(self) -> None:
         conn, transport = make_connection()
-        first = asyncio.create_task(conn.exchange(HEAD, make_body()))
+        first = asyncio.create_task(
+            conn.exchange(HEAD, make_body(), request_id=None)
+        )
         await asyncio.sleep(0)
         written = transport.written
         await self._assert_not_sent(conn)
@@ -111,7 +113,9 @@
 
     async def _lose(self) -> None:
         conn, transport = make_connection()
-        sending = asyncio.create_task(conn.exchange(HEAD, make_body()))
+        sending = asyncio.create_task(
+            conn.exchange(HEAD, make_body(), request_id=None)
+        )
         await asyncio.sleep(0)
         self.assertEqual(b'%bx' % HEAD, transport.written)
         conn.connection_lost(None)
--- a/wagtailfork/http1/tests/test_pool.py
+++ b/wagtailfork/http1/tests/test_pool.py
@@ -110,6 +110,7 @@
             self.assertIs(used[1], used[2])
             self.assertEqual(5, len(set(used)))
             self.assertEqual(5, pool.opened_count)
+            self.assertEqual(3, pool.repeated_ids)
 
         run_scenario(make_server(), scenario)
 
--- a/wagtailfork/platform/store.py
+++ b/wagtailfork/platform/store.py
@@ -228,7 +228,7 @@
     async def _exchange(self, head: bytes, body: Body | None) -> Reply:
         conn = await self.pool.acquire(self.address, once=False, timeout_s=1)
         try:
-            response = await conn.exchange(head, body)
+            response = await conn.exchange(head, body, request_id=None)
             # Listings may exceed the default buffer limit of a body.
             response.body.replay_limit_bytes = _MAX_RESPONSE_BYTES
             await response.body.wait_buffered()
--- a/wagtailfork/routing/upstream.py
+++ b/wagtailfork/routing/upstream.py
@@ -64,7 +64,7 @@
     target: str  # path with query, percent-encoded
     headers: Headers
     body: 'bytes | StreamedBody'
-    request_id: str | None = None  # as in the headers
+    request_id: str | None  # as in the headers
 
 
 @attrs.define
