Test what a stopping VM sends late and what it sends no more

Beside the request that cannot end in time, which is refused: one whose deadline is before the limit of the stop is sent and answered, and one that a server refuses late is not sent to another. The test that was there does the same as before, through shared steps.

--- a/wagtailfork/gateway/tests/test_planned_stop.py
+++ b/wagtailfork/gateway/tests/test_planned_stop.py
@@ -14,6 +14,7 @@
     ScriptedBackend,
     Writer,
     render_response,
+    shed_request,
 )
 from ...tests.rig_tools import WINDOW_BYTES, open_narrow
 from ..node import GatewayNode
@@ -30,6 +31,8 @@
     f'POST /pay/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: late\r\n'
     f'Request-Deadline-Ms: 9000\r\nContent-Length: 1\r\n\r\n'
 ).encode()
+# It ends within the limit of the stop, however late it is sent.
+SHORT_HEAD = LATE_HEAD.replace(b'Ms: 9000', b'Ms: 1200')
 
 
 READERS = 8
@@ -83,29 +86,70 @@
         """It was sent, and cut off without an answer at the end."""
         run_scenario(self._send_late)
 
+    def test_short_request_in_the_grace_is_answered(self) -> None:
+        """Its deadline is before the end of the stop."""
+        run_scenario(self._send_short)
+
+    def test_refused_request_is_not_sent_again_late(self) -> None:
+        """A server refuses it when the process accepts nothing any more."""
+        run_scenario(self._refuse_late)
+
     async def _send_late(self, rig: Rig) -> None:
-        await rig.start(backends=2, gateways=0)
+        node = await self._start(rig)
         for backend in rig.backends.values():
             backend.service_s = LONG_SERVICE_S
+        answer = await self._call_late(rig, node, LATE_HEAD, ACCEPTS_S)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 503 '), answer[:40])
+        self.assertEqual([], rig.runs())
+
+    async def _send_short(self, rig: Rig) -> None:
+        node = await self._start(rig)
+        answer = await self._call_late(rig, node, SHORT_HEAD, ACCEPTS_S)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200 '), answer[:40])
+        self.assertEqual(['late'], rig.runs())
+
+    async def _refuse_late(self, rig: Rig) -> None:
+        node = await self._start(rig)
+        for backend in rig.backends.values():
+            backend.script = shed_late
+        answer = await self._call_late(rig, node, LATE_HEAD, 0)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 503 '), answer[:40])
+        arrived = [len(one.arrivals) for one in rig.backends.values()]
+        self.assertEqual([0, 1], sorted(arrived))
+
+    async def _start(self, rig: Rig) -> GatewayNode:
+        await rig.start(backends=2, gateways=0)
         route = make_route(pathPrefix='/pay/', type='unsafe', timeoutMs=9000)
         rig.store.put(CONFIG_TOPIC, 'config', make_config(2, pay=route))
         rig.add_gateway('vm0', stop_accepts_s=ACCEPTS_S, stop_grace_s=GRACE_S)
         await rig.until(lambda: all(node.is_ready() for node in rig.nodes))
-        node = rig.nodes[0]
+        return rig.nodes[0]
+
+    async def _call_late(
+        self, rig: Rig, node: GatewayNode, head: bytes, pause_s: float
+    ) -> bytes:
+        """Send a head while the VM accepts requests, its body after a pause."""
         reader, writer = await open_connection(node.cfg.caller_address)
         node.request_stop()
         await asyncio.sleep(ACCEPTS_S / 2)
         answer = b''
-        writer.write(LATE_HEAD)
-        await asyncio.sleep(ACCEPTS_S)
+        writer.write(head)
+        await asyncio.sleep(pause_s)
         writer.write(LATE_BODY)
         end = asyncio.create_task(rig.end_process(node))
         with contextlib.suppress(ConnectionError):
             answer = await asyncio.wait_for(reader.read(), LIMIT_S)
         await end
         writer.close()
-        self.assertTrue(answer.startswith(b'HTTP/1.1 503 '), answer[:40])
-        self.assertEqual([], rig.runs())
+        return answer
+
+
+async def shed_late(
+    backend: ScriptedBackend, req: ReceivedRequest, writer: Writer
+) -> None:
+    """Refuse the request once the VM accepts no others."""
+    await asyncio.sleep(ACCEPTS_S)
+    await shed_request(backend, req, writer)
 
 
 async def send_sized(
