Test heads that end early on the own interface

A server that closes after any number of bytes of its response's head: each counts as a lost connection.

--- a/wagtailfork/routing/tests/test_upstream.py
+++ b/wagtailfork/routing/tests/test_upstream.py
@@ -9,7 +9,7 @@
 
 from ...control.objects import Backend
 from ..endpoint import Endpoint
-from ..upstream import Upstream, UpstreamRequest
+from ..upstream import FailureKind, Upstream, UpstreamError, UpstreamRequest
 
 ANSWER = b'HTTP/1.1 %b\r\nx-request-id: r1\r\nContent-Length: 0\r\n\r\n'
 LATE_S = 0.02  # of a copy that arrives while its connection is idle
@@ -17,6 +17,8 @@
 REFUSAL = ANSWER % b'503 Full\r\nwagtailfork-shed: 1'
 REQUEST_ID = 'x-request-id'
 RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+NAMED_RESPONSE = ANSWER % b'200 OK'
+CUTS = range(len(NAMED_RESPONSE))
 
 
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -110,6 +112,35 @@
         """A second answer arrives before the next request is sent."""
         asyncio.run(self._send_after_a_late_copy())
 
+    def test_cut_head_is_no_response(self) -> None:
+        """A server closes at any byte of the head of its response."""
+        for size in CUTS:
+            asyncio.run(self._send_to_cutting(size))
+
+    async def _send_to_cutting(self, size: int) -> None:
+        async def cut(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(NAMED_RESPONSE[:size])
+            writer.close()
+
+        listener = await asyncio.start_server(cut, '127.0.0.1', 0)
+        endpoint = make_endpoint(listener)
+        upstream = Upstream()
+        req = UpstreamRequest(
+            method='POST', target='/', headers=(), body=b'', request_id='r1'
+        )
+        try:
+            await upstream.send(endpoint, req, 1)
+        except UpstreamError as exc:
+            self.assertEqual(FailureKind.lost, exc.kind)
+        else:
+            self.fail(f'{size} bytes were taken for a response')
+        finally:
+            await upstream.close()
+            listener.close()
+
     async def _send_after_a_late_copy(self) -> None:
         server = LateCopyServer()
         listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
