--- a/wagtailfork/soak/tests/test_links.py
+++ b/wagtailfork/soak/tests/test_links.py
@@ -10,10 +10,10 @@
 from ...tests.rig_tools import HOST, free_port
 from ..excuses import Disruptions
 from ..links import Link, Links
+from ..plan import SoakPlan
 from ..record import RequestRecord, Visit
 from ..timed_rules import TimedRules
 from .test_soak import play
-from ..plan import SoakPlan
 
 DELAY_S: Final = 0.05
 LIMIT_S: Final = 10.0
