Compare what requests cost on gateways of several builds

`wagtailfork bench builds TREE...` starts a new gateway process of each tree in each round, with a store and four servers of its own, and sends each request to all of them and to a server directly in turns, so that a busy machine hits all alike. It prints medians and the spread of the differences, round by round, to the build before; the same tree given twice shows what can't be told apart.

--- a/wagtailfork/cli/bench.py
+++ b/wagtailfork/cli/bench.py
@@ -1,10 +1,12 @@
 """The ``bench`` commands."""
 
 import json
+import os
 from typing import Any, Final
 
 import click
 
+from ..bench.build_costs import BuildPlan, compare_builds
 from ..bench.capacity import measure_entry_vm
 from ..bench.experiment import compare_policies
 from ..bench.gateway import measure_gateway
@@ -31,6 +33,7 @@
     'peer_bytes_per_s',
     'report_bytes_per_s',
 )
+_BUILD_COLUMNS: Final = ('what', 'build', 'rounds', 'median', 'difference')
 
 
 @click.group()
@@ -95,6 +98,36 @@
         click.echo(line)
 
 
+@bench.command('builds')
+@click.argument(
+    'checkouts',
+    nargs=-1,
+    required=True,
+    type=click.Path(exists=True, file_okay=False, resolve_path=True),
+)
+@click.option('--rounds', default=10, show_default=True)
+@click.option(
+    '--requests',
+    default=300,
+    show_default=True,
+    help='Requests of each kind to each build in a round.',
+)
+@click.option(
+    '--seconds',
+    default=1.0,
+    show_default=True,
+    help='Time of full load for each build in a round.',
+)
+def bench_builds(checkouts: tuple[str, ...], **options: Any) -> None:
+    """Compare gateways of several builds, given as trees, in turns."""
+    configure_logs('ERROR')
+    started = os.getloadavg()
+    rows = compare_builds(BuildPlan(checkouts=checkouts, **options))
+    for line in markdown_table(rows, _BUILD_COLUMNS):
+        click.echo(line)
+    click.echo(f'load average: {started} before, {os.getloadavg()} after')
+
+
 def markdown_table(
     rows: list[dict[str, Any]],
     columns: tuple[str, ...],
