Hand on a server's 400 for a request that it did not run

What callers saw: a request that servers refuse for what it is, such as one without an id, was sent to a second server too, and its caller got 503, a reason to come again, in place of the server's 400.

Cause: any answer that states 'not run' was taken for a shed of a busy server. Now a stated 4xx other than 408, 421 and 429 ends the request with the server's own answer, is not tried elsewhere, and moves neither the server's share of failures nor the service times; sums of traffic still say 'not run'.

--- a/wagtailfork/gateway/call.py
+++ b/wagtailfork/gateway/call.py
@@ -38,6 +38,11 @@
             self.conn.close()
             self.conn = None
 
+    @property
+    def rejected(self) -> bool:
+        """Return whether the response is to a request that did not run."""
+        return self.response is not None and not self.may_have_run
+
     @property
     def usable(self) -> bool:
         """Return whether the response needs no retry."""
--- a/wagtailfork/gateway/dialect.py
+++ b/wagtailfork/gateway/dialect.py
@@ -31,6 +31,8 @@
     # Whether callers take the status for a promise that the request has not
     # run, stated by the server or not.
     status_denies_run: bool = False
+    # Whether it did not run for what its caller sent, at any server alike.
+    caller_fault: bool = False
     other_server: bool = False  # a different server now uses the address
     encoded: bool = False
     server: str | None = None
--- a/wagtailfork/gateway/sender.py
+++ b/wagtailfork/gateway/sender.py
@@ -213,7 +213,7 @@
         )
         self._evaluate(call, candidate, result, response, metadata)
         self.record_send(call, candidate, _outcome(result), response.body.size)
-        if result.usable:
+        if result.usable and not result.rejected:
             nominal_s = (now_s() - copy.started_s) / copy.slowness
             self._record_service_time(call, nominal_s, full=copy.full)
             self.service_times.record_size(call.route.name, response.body.size)
@@ -294,6 +294,10 @@
             candidate, metadata.limit, call.metadata.request_id
         )
         self.statements.record(candidate, metadata)
+        if metadata.caller_fault and not response.body.truncated:
+            result.response = response
+            result.reason = f'status_{response.status}'
+            return
         if metadata.not_run:
             result.reason = 'other_server' if metadata.other_server else 'shed'
             candidate.load.record_outcome(now, failed=True)
@@ -329,13 +333,13 @@
     """Return what the attempt tells about the server."""
     if result.reason in _UNREACHABLE_REASONS:
         return Outcome.unreachable
-    if not result.delivered:
+    if not result.delivered or result.rejected:
         return Outcome.unknown
     return Outcome.succeeded if result.usable else Outcome.failed
 
 
 def _outcome(result: SendResult) -> str:
-    if result.response is not None:
+    if result.response is not None and not result.rejected:
         return 'ran'
     return 'unknown' if result.may_have_run else 'not_run'
 
--- a/wagtailfork/platform/headers.py
+++ b/wagtailfork/platform/headers.py
@@ -158,12 +158,15 @@
         load = response.find(_LOAD)
         other_server = response.status == _MISDIRECTED
         statements = response.find_all(_NOT_EXECUTED)
+        not_run = other_server or states_not_run(response.status, statements)
+        denies_run = response.status in _DENY_RUN
         return ResponseMetadata(
             request_id=_text(response.find(_REQUEST_ID)),
             signed=response.find(_SIGNATURE) is not None,
-            not_run=other_server or states_not_run(response.status, statements),
+            not_run=not_run,
+            caller_fault=not_run and not denies_run,
             statement=b','.join(statements).decode('latin-1'),
-            status_denies_run=response.status in _DENY_RUN,
+            status_denies_run=denies_run,
             other_server=other_server,
             encoded=response.find(b'content-encoding') is not None,
             server=_text(response.find(_INSTANCE)),
