--- a/wagtailfork/bench/build_scene.py
+++ b/wagtailfork/bench/build_scene.py
@@ -15,7 +15,7 @@
 from ..soak.gateways import GatewayProcess
 from ..soak.plan import REGIONS
 from ..soak.wire import read_body, read_head
-from ..standin.documents import make_route
+from ..standin.documents import describe_route, describe_server
 from ..standin.keyed_store import KeyedStoreStandin
 from ..standin.scripted_backend import (
     ReceivedRequest,
@@ -26,7 +26,8 @@
 from ..tests.rig_tools import free_port
 
 HOST: Final = 'shop.example'
-ZONE: Final = min(REGIONS)
+SERVICE: Final = 'stock'
+DOMAIN: Final = min(REGIONS)
 SERVER_COUNT: Final = 4
 START_LIMIT_S: Final = 60.0
 POLL_S: Final = 0.1
@@ -184,7 +185,7 @@
             await self._add_server(f'server{number}')
         self._gateway = MeasuredGateway(
             vm='vm0',
-            domain=ZONE,
+            domain=DOMAIN,
             store_address=store_address,
             folder=self.folder,
             checkout=self.checkout,
@@ -217,17 +218,12 @@
         server = make_server(name)
         await server.start()
         self.servers.append(server)
-        entry = {
-            'service': 'stock',
-            'address': server.address,
-            'zone': ZONE,
-            'version': 'v1',
-            'capacity': server.slots,
-            'state': 'ready',
-            'warmupLeftMs': 0,
-            'seq': 1,
-            'born': 1,
-        }
+        entry = describe_server(
+            service=SERVICE,
+            address=server.address,
+            domain=DOMAIN,
+            slots=server.slots,
+        )
         self.store.put('keyed.servers', name, json.dumps(entry).encode())
 
 
@@ -250,18 +246,19 @@
 
 def _configuration() -> bytes:
     routes = {
-        prefix: make_route(
-            pathPrefix=prefix,
-            type=kind,
-            timeoutMs=DEADLINE_MS,
-            targetLatencyMs=OBJECTIVE_MS,
+        prefix: describe_route(
+            prefix=prefix,
+            kind=kind,
+            service=SERVICE,
+            timeout_ms=DEADLINE_MS,
+            objective_ms=OBJECTIVE_MS,
         )
         for prefix, kind in _PREFIXES.items()
     }
     document = {
         'version': 1,
         'routes': routes,
-        'services': {'stock': {'healthPath': '/health', 'maxConns': 900}},
+        'services': {SERVICE: {'healthPath': '/health', 'maxConns': 900}},
         'limits': {'maxBodyBytes': 67108864, 'idleTimeoutMs': 15000},
     }
     return json.dumps(document).encode()
--- a/wagtailfork/soak/deployment.py
+++ b/wagtailfork/soak/deployment.py
@@ -13,7 +13,7 @@
 
 from ..core.clock import now_s
 from ..core.server import HttpServer, bind
-from ..standin.documents import make_route
+from ..standin.documents import describe_route
 from ..standin.keyed_store import KeyedStoreStandin
 from ..tests.rig_tools import free_port
 from .answers import COPIED, weights_of
@@ -218,12 +218,12 @@
         self.rules.versions.append((now_s(), payments))
         services = {'stock': 'stock', 'pay': payments, 'snap': 'snap'}
         routes = {
-            name: make_route(
-                pathPrefix=_PREFIXES[name],
-                type=_TYPES[name],
+            name: describe_route(
+                prefix=_PREFIXES[name],
+                kind=_TYPES[name],
                 service=service,
-                timeoutMs=ROUTE_TIMEOUT_MS,
-                targetLatencyMs=OBJECTIVE_MS,
+                timeout_ms=ROUTE_TIMEOUT_MS,
+                objective_ms=OBJECTIVE_MS,
             )
             for name, service in services.items()
         }
--- a/wagtailfork/soak/servers.py
+++ b/wagtailfork/soak/servers.py
@@ -8,6 +8,7 @@
 import attrs
 
 from ..core.clock import now_s
+from ..standin.documents import describe_server
 from .answers import Answer, make_body
 from .carried import Carried
 from .plays import PLAYS
@@ -112,17 +113,15 @@
     def entry(self) -> dict[str, object]:
         """Return the registration entry."""
         self.sequence += 1
-        return {
-            'service': self.service,
-            'address': self.address,
-            'zone': self.zone,
-            'version': 'v1',
-            'capacity': SLOTS,
-            'state': 'ready' if self.leaving_since_s is None else 'draining',
-            'warmupLeftMs': 0,
-            'seq': self.sequence,
-            'born': self.born,
-        }
+        return describe_server(
+            service=self.service,
+            address=self.address,
+            domain=self.zone,
+            slots=SLOTS,
+            draining=self.leaving_since_s is not None,
+            sequence=self.sequence,
+            started_ms=self.born,
+        )
 
     def visit(self, *, misdirected: bool = False) -> Visit:
         """Return a visit of a request now.
--- a/wagtailfork/standin/documents.py
+++ b/wagtailfork/standin/documents.py
@@ -8,6 +8,7 @@
 SERVICE_COUNT: Final = 50
 HOST_COUNT: Final = 10
 _OCTET_SIZE: Final = 256
+_STARTED_MS: Final = 1796386631490
 
 
 def make_entry(index: int) -> bytes:
@@ -17,18 +18,55 @@
     '10.0.1.44:8080'
     """
     high, low = divmod(index, _OCTET_SIZE)
-    fields = {
-        'service': f's{index // SERVERS_PER_SERVICE}',
-        'address': f'10.{high // _OCTET_SIZE}.{high % _OCTET_SIZE}.{low}:8080',
-        'zone': f'domain-{index % DOMAIN_COUNT}',
+    fields = describe_server(
+        service=f's{index // SERVERS_PER_SERVICE}',
+        address=f'10.{high // _OCTET_SIZE}.{high % _OCTET_SIZE}.{low}:8080',
+        domain=f'domain-{index % DOMAIN_COUNT}',
+        started_ms=_STARTED_MS,
+    )
+    return json.dumps(fields).encode()
+
+
+def describe_server(
+    *,
+    service: str,
+    address: str,
+    domain: str,
+    slots: int = 4,
+    draining: bool = False,
+    sequence: int = 1,
+    started_ms: int = 1,
+) -> dict[str, Any]:
+    """Return the fields of the entry of a warm server."""
+    return {
+        'service': service,
+        'address': address,
+        'zone': domain,
         'version': 'v1',
-        'capacity': 4,
-        'state': 'ready',
+        'capacity': slots,
+        'state': 'draining' if draining else 'ready',
         'warmupLeftMs': 0,
-        'seq': 1,
-        'born': 1796386631490,
+        'seq': sequence,
+        'born': started_ms,
     }
-    return json.dumps(fields).encode()
+
+
+def describe_route(
+    *,
+    prefix: str,
+    kind: str,
+    service: str,
+    timeout_ms: int,
+    objective_ms: int,
+) -> dict[str, Any]:
+    """Return the fields of a route to one service."""
+    return make_route(
+        pathPrefix=prefix,
+        type=kind,
+        service=service,
+        timeoutMs=timeout_ms,
+        targetLatencyMs=objective_ms,
+    )
 
 
 def make_route(**changes: Any) -> dict[str, Any]:
