--- a/wagtailfork/gateway/dialect.py
+++ b/wagtailfork/gateway/dialect.py
@@ -31,7 +31,7 @@
     # Whether callers take the status for a promise that the request has not
     # run, stated by the server or not.
     status_denies_run: bool = False
-    # Whether it did not run for what its caller sent, at any server alike.
+    # Whether the server rejected the request itself, as any other would.
     caller_fault: bool = False
     other_server: bool = False  # a different server now uses the address
     encoded: bool = False
