Count stalls of the soak's own process as trouble of the store

Cause: the process that plays the store, the servers and the callers did not run, and nothing recorded that; a store that answers nobody is in trouble by the rule that the check states (in touch: the store has been well for 4 s). Why it did not run (a busy machine, 3.8 GB in the process) was not traced.

Now the process times its own pauses; a stall of half a second or more is trouble of the store, and the report counts them. REFUSED, TWICE, MIXED and LOST are judged as before.

--- a/wagtailfork/cli/soak.py
+++ b/wagtailfork/cli/soak.py
@@ -144,6 +144,8 @@
             'excessive': len(record.excessive),
             'ended': len(record.ended),
             'peak_mb': record.peak_bytes // _MB,
+            'stalls': len(record.stalls_s),
+            'longest_stall_s': round(max(record.stalls_s, default=0), 1),
         },
     )
     _print_counts('answers', record.answers)
--- a/wagtailfork/soak/deployment.py
+++ b/wagtailfork/soak/deployment.py
@@ -22,9 +22,9 @@
 from .gateways import GatewayProcess
 from .link_disruptions import LinkDisruptor
 from .links import Links
-from .memory import MemoryWatch
 from .plan import PAYMENT_SERVICES, REGIONS, SERVICES, SoakPlan
 from .record import Record
+from .run_watch import RunWatch
 from .servers import SoakServer
 from .stale_entries import StaleEntries
 from .timed_rules import TimedRules
@@ -141,25 +141,23 @@
             tasks.append(asyncio.create_task(disruptor.run(until_s)))
         stale = self._make_stale_entries(rng)
         tasks.append(asyncio.create_task(stale.run(until_s)))
-        memory = MemoryWatch(self.gateways)
-        watch = asyncio.create_task(memory.run())
+        watch = RunWatch(self.gateways, self.rules.store)
+        watch.start()
         await asyncio.sleep(self.plan.seconds)
         await _end_tasks(tasks)
         for gateway in self.gateways:
             gateway.send_signal(signal.SIGCONT)
         await asyncio.sleep(SETTLE_S)
-        watch.cancel()
-        self._record_processes(memory)
+        watch.stop(self.record)
+        self._record_processes()
 
-    def _record_processes(self, memory: MemoryWatch) -> None:
+    def _record_processes(self) -> None:
         disruptions = {
             self.links.reach(one.address): one.disruptions
             for one in self.gateways
         }
         self.record.late = self.rules.judge(self.record.requests, disruptions)
         self.record.judged_in_touch = self.rules.judged
-        self.record.excessive = memory.excessive()
-        self.record.peak_bytes = max(memory.peaks.values(), default=0)
         self.record.ended = [
             one.vm for one in self.gateways if one.ended_by_itself
         ]
--- a/wagtailfork/soak/record.py
+++ b/wagtailfork/soak/record.py
@@ -101,6 +101,8 @@
     # Resident bytes of gateways beyond the memory of a small VM, and the most.
     excessive: dict[str, int] = attrs.field(factory=dict)
     peak_bytes: int = 0
+    # How long the process that plays all but the gateways did not run.
+    stalls_s: list[float] = attrs.field(factory=list)
     # Gateways that ended although nobody ended them.
     ended: list[str] = attrs.field(factory=list)
 
