--- a/review/lib2/small.py
+++ b/review/lib2/small.py
@@ -466,13 +466,18 @@
     """The case could not be played."""
 
 
-async def call(address, method, path, headers, body=b''):
+async def call_host(address, method, path, headers, body=b''):
+    """Send a requester's request on a new connection; read the answer."""
+    return await call(address, method, path, headers, body, host=HOST)
+
+
+async def call(address, method, path, headers, body=b'', host=''):
     """Send one request on a new connection and read the answer."""
     ip, _, port = address.rpartition(':')
     reader, writer = await asyncio.open_connection(ip, int(port))
     try:
         writer.write(
-            request(method, path, headers, body, host=address)
+            request(method, path, headers, body, host=host or address)
         )
         return await read_message(reader)
     finally:
