Answer what is open before a request that can't be read

Cause: a read that began within a head and ended within one was added whole to the size of the head, also if it held other requests; and a rejection aborted the connection whenever a request was open. Ruled out: the deadline, the server, the bound of queued requests, the time-out of a head.

Change: received bytes are parsed in pieces of one request each, so a head counts from its request line to its blank line wherever reads end. What can't be read takes its turn: those before it are answered, then the 4xx, then the close. The same for garbage, blank lines, large bodies, and upgrades, which were started and then aborted.

--- a/wagtailfork/http1/caller.py
+++ b/wagtailfork/http1/caller.py
@@ -17,6 +17,7 @@
 from .idle_watch import TimeoutMonitor
 from .read_ahead import ReadAhead
 from .request import CallerRequest, Limits
+from .request_framing import RequestFraming
 from .response_order import ResponseOrder
 
 _LINGER_S: Final = 1.0  # for a caller to read an early response
@@ -25,9 +26,6 @@
 _MAX_PIPELINED: Final = 64
 _MAX_WITH_BODIES: Final = 8  # if their bodies are large together
 _LARGE_BYTES: Final = 524288
-# Blank lines between requests, chunk sizes with extensions and trailers.
-MAX_OVERHEAD_BYTES: Final = 65536
-_CHUNK_FRAMING_BYTES: Final = 8
 _logger = logging.getLogger(__name__)
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _STATUS_LINES: Final = {
@@ -65,10 +63,9 @@
         self._reads_requests = True  # none has been said to be the last
         self._pauses: set[str] = set()  # why nothing is read
         self._resumed_s = 0.0
-        self._header_bytes = 0
-        self._partial_head_bytes = 0  # of a head received in pieces
+        self._framing = RequestFraming()
         self._reading_head = False
-        self._overhead_bytes = 0  # received outside of heads and bodies
+        self._trailer_bytes = 0
         self._timeouts = TimeoutMonitor(self, server.limits)
         self._drained = asyncio.Event()
         self._drained.set()
@@ -84,23 +81,11 @@
     def data_received(self, raw: bytes) -> None:
         """Parse received bytes."""
         self._timeouts.record_activity()
-        if self._closing or not self._reads_requests:
-            return
-        was_reading_head = self._reading_head
-        self._overhead_bytes += len(raw)
-        try:
-            self._parser.feed_data(raw)
-        except httptools.HttpParserUpgrade:
-            self._reject(HTTPStatus.BAD_REQUEST)
-        except httptools.HttpParserError:
-            self._reject(HTTPStatus.BAD_REQUEST)
-        if was_reading_head and self._reading_head:
-            # The parser reports a header only once it is complete.
-            self._partial_head_bytes += len(raw)
-            if self._partial_head_bytes > self._header_limit():
-                self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-        elif self._overhead_bytes > MAX_OVERHEAD_BYTES:
-            self._reject(HTTPStatus.BAD_REQUEST)
+        start = 0
+        while start < len(raw) and self._accepts_requests():
+            end = self._framing.piece_end(raw, start)
+            self._parse(raw[start:end])
+            start = end
 
     def eof_received(self) -> None:
         """Abort the connection, as the caller has closed its side."""
@@ -131,9 +116,7 @@
         if not self._reads_requests:
             return
         self._reading_head = True
-        self._header_bytes = 0
-        self._partial_head_bytes = 0
-        self._overhead_bytes = 0
+        self._trailer_bytes = 0
         self._incoming = CallerRequest(
             self,
             now_s(),
@@ -146,16 +129,18 @@
         """Append a part of the request target."""
         if self._incoming is not None:
             self._incoming.target += url
-            self._count_header(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header."""
         if self._incoming is None:
             return
         if self._reading_head:
-            # A trailer must not pass for a header.
             self._incoming.headers.append((name, value))
-        self._count_header(len(name) + len(value) + 4)
+            return
+        # A trailer must not pass for a header.
+        self._trailer_bytes += len(name) + len(value) + 4
+        if self._trailer_bytes > self._header_limit():
+            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def on_headers_complete(self) -> None:
         """Queue the request whose head is complete."""
@@ -165,32 +150,35 @@
         self._reading_head = False
         req.method = self._parser.get_method()
         req.keep_alive = self._parser.should_keep_alive()
-        length = req.find(b'content-length')
-        if (
-            length is not None
-            and int(length) > self._server.limits().max_body_bytes
-        ):
+        if self._parser.should_upgrade():
+            # The parser takes what follows for another protocol.
+            self._reject(HTTPStatus.BAD_REQUEST)
+            return
+        length = _body_length(req)
+        if (length or 0) > self._server.limits().max_body_bytes:
             self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
             return
+        self._framing.start_body(length)
         req.overlaps = self._server.may_overlap(req)
         self._queue.append(req)
         self._start_requests()
 
+    def on_chunk_header(self) -> None:
+        """Count the chunk whose size was read."""
+        self._framing.start_chunk()
+
     def on_body(self, piece: bytes) -> None:
         """Feed a piece to the request body."""
         req = self._incoming
         if req is None:
             return
-        # A chunk of one byte has up to eight bytes of framing.
-        self._overhead_bytes -= (1 + _CHUNK_FRAMING_BYTES) * len(piece)
         req.body.feed(piece)
         if req.body.size > self._server.limits().max_body_bytes:
-            req.body.fail()
             self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
 
     def on_message_complete(self) -> None:
         """Complete the request body."""
-        self._overhead_bytes = 0
+        self._framing.finish()
         req = self._incoming
         if req is None:
             return
@@ -223,7 +211,6 @@
         if self._incoming is None:
             self.close_if_idle()
             return
-        self._incoming.body.fail()
         self._reject(HTTPStatus.REQUEST_TIMEOUT)
 
     # Interface for requests.
@@ -308,32 +295,47 @@
     def _header_limit(self) -> int:
         return self._server.limits().max_header_bytes
 
-    def _count_header(self, size: int) -> None:
-        self._header_bytes += size
-        if self._header_bytes > self._header_limit():
+    def _accepts_requests(self) -> bool:
+        return self._reads_requests and not self._closing
+
+    def _parse(self, piece: bytes) -> None:
+        """Parse a piece of one request, or of what precedes it."""
+        size = self._framing.take(piece, self._header_limit())
+        try:
+            self._parser.feed_data(piece[:size])
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._reject(HTTPStatus.BAD_REQUEST)
+        if size < len(piece):
             self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        elif self._framing.excessive:
+            self._reject(HTTPStatus.BAD_REQUEST)
 
     def _reject(self, status: HTTPStatus) -> None:
-        """Respond to an invalid request; abort if a response is pending."""
-        if self._closing or not self._reads_requests:
+        """Respond to an invalid request in its turn and close.
+
+        One whose head was accepted is left to its handler, which finds the
+        body broken.
+        """
+        if not self._accepts_requests():
             return
-        self._closing = True
         log_event(
             _logger,
             'request_rejected',
             status=status.value,
-            handled=self._order.front is not None,
+            open=len(self._order),
+            waiting=len(self._queue),
+            head_bytes=self._framing.head_bytes,
             head_complete=not self._reading_head,
         )
-        if self._order.front is None:
-            head = render_head(
-                _STATUS_LINES[status.value],
-                [(b'Content-Length', b'0'), (b'Connection', b'close')],
-            )
-            self._transport.write(head)
-            self._linger()
-            return
-        self._transport.abort()
+        self._reads_requests = False
+        req = self._incoming or CallerRequest(self, now_s())
+        self._incoming = None
+        req.body.fail()
+        self._pause_for('body', pause=False)
+        if not (self._order.is_open(req) or req in self._queue):
+            req.rejected_with = status
+            self._queue.append(req)
+            self._start_requests()
 
     def _linger(self) -> None:
         # An immediate close would reset the connection if the caller has sent
@@ -388,7 +390,7 @@
 
     async def _serve(self, req: CallerRequest) -> None:
         try:
-            await self._server.handler(req)
+            await self._handle(req)
         except Exception as exc:
             # A fault in one request must not leave its caller without an
             # answer, nor end anything else.
@@ -399,6 +401,13 @@
             self._timeouts.record_activity()
             self._finish(req)
 
+    async def _handle(self, req: CallerRequest) -> None:
+        if req.rejected_with is None:
+            await self._server.handler(req)
+            return
+        req.keep_alive = False
+        req.respond(req.rejected_with, [])
+
     def _finish(self, req: CallerRequest) -> None:
         self._order.finish(req)
         if self._order.closing:
@@ -457,3 +466,11 @@
             self._resumed_s = now_s()
             self._timeouts.record_activity()
             self._transport.resume_reading()
+
+
+def _body_length(req: CallerRequest) -> int | None:
+    """Return the length of a body, None if it is chunked."""
+    length = req.find(b'content-length')
+    if length is None:
+        return 0 if req.find(b'transfer-encoding') is None else None
+    return int(length)
--- a/wagtailfork/http1/request.py
+++ b/wagtailfork/http1/request.py
@@ -62,6 +62,7 @@
     keep_alive: bool = True
     overlaps: bool = False  # may run beside others of its connection
     response_started: bool = False
+    rejected_with: int | None = None  # the status for an invalid request
 
     def find(self, name: bytes) -> bytes | None:
         """Return the first value of a header by its lower-case name."""
--- a/wagtailfork/http1/tests/test_caller.py
+++ b/wagtailfork/http1/tests/test_caller.py
@@ -216,17 +216,23 @@
         self.assertEqual([True], observed)
 
     def test_bad_request_spoils_no_response(self) -> None:
-        """An error is not written into a response that is being sent."""
+        """An error is written behind a response that is being sent."""
+        body = Body()
+        body.feed(b'begun')
 
         async def handler(req: CallerRequest) -> None:
-            body = Body()
-            body.feed(b'begun')
             await req.stream_response(200, [], body)
 
         async def scenario(reader: Reader, writer: Writer) -> None:
             writer.write(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
             await reader.readuntil(b'begun\r\n')
             writer.write(b'no request\r\n\r\n')
+            await asyncio.sleep(PIECE_DELAY_S)
+            body.feed(b'ended')
+            body.finish()
+            whole = await reader.readuntil(b'0\r\n\r\n')
+            self.assertEqual(b'5\r\nended\r\n0\r\n\r\n', whole)
+            self.assertEqual(400, await read_status(reader))
             self.assertEqual(b'', await _read_rest(reader))
 
         run_scenario(scenario, handler)
