Close behind an aborted response instead of discarding those before it

Cause: the abort of the front response aborts the transport, which discards what it holds of earlier ones. Change: the connection is closed behind what was written. An aborted response has a length or chunks, so it doesn't look whole.

test_abort_spares_unread_responses (40 responses of 200 kB, then an aborted one, read late) failed before and passes on both event loops.

--- a/wagtailfork/http1/caller.py
+++ b/wagtailfork/http1/caller.py
@@ -423,9 +423,8 @@
         if front is None:
             if self._order.closing:
                 self._linger()
-        elif front.aborted:
-            self.abort()
-        elif front.response_ended and not front.req.keep_alive:
+        elif front.aborted or front.response_ended and not front.req.keep_alive:
+            # The framing of an aborted response shows that it is incomplete.
             self._linger()
 
     def _stop_reading_requests(self) -> None:
--- a/wagtailfork/http1/tests/test_pipelining.py
+++ b/wagtailfork/http1/tests/test_pipelining.py
@@ -217,6 +217,16 @@
         scene.release.set()
         self.assertEqual(paths[:2], await scene.receive_all())
 
+    @played
+    async def test_abort_spares_unread_responses(self, scene: Scene) -> None:
+        """A broken response discarded whole ones that were not read yet."""
+        # More than both ends of the connection buffer.
+        paths = [f'/big/{number}' for number in range(40)]
+        scene.send(*paths, '/abort/40')
+        await scene.until(lambda: '/abort/40' in scene.ended)
+        await asyncio.sleep(PAUSE_S)
+        self.assertEqual(paths, await scene.receive_all())
+
     @played
     async def test_disconnect_cancels_all(self, scene: Scene) -> None:
         """Requests of a caller that has left went on."""
