Hand on the entries that a VM can't use yet

Cause: a VM hands on the entries in use and the position up to which it read; entries of services that are not configured lay in a dict that it kept for itself. The new VM took the table for whole and read on from the position.

Change: a view keeps what is in use and what is newer and set aside (service unknown, moved, unreadable, older than known after a restore, listed before the first configuration); both are handed on, and what was set aside is tried again. configuration_in_force counts it.

--- a/wagtailfork/fleet/snapshots.py
+++ b/wagtailfork/fleet/snapshots.py
@@ -62,13 +62,15 @@
     """Hold the configuration, and the server table or its recent changes.
 
     The configuration is compressed, as many VMs fetch it at the same time. A
-    table comes with the departures that an older copy of it may lack.
+    table comes with newer entries that the sender could not use, and with the
+    departures that an older copy of it may lack.
     """
 
     packed_configuration: bytes = b''
     configuration_era: int = 0
     position: Position = NO_POSITION
     servers: Mapping[str, bytes] | None = None
+    set_aside: Mapping[str, bytes] = attrs.field(factory=dict)
     changes: tuple[Change, ...] = ()
     departures: tuple[Departure, ...] = ()
     evacuations: EvacuationRows | None = None  # None if there never was one
@@ -121,6 +123,7 @@
         'era': snapshot.position.era,
         'offset': snapshot.position.offset,
         'servers': None if servers is None else dict(servers),
+        'set_aside': dict(snapshot.set_aside),
         'changes': changes,
         'departures': [list(attrs.astuple(one)) for one in snapshot.departures],
     }
@@ -204,13 +207,14 @@
     servers = parts['servers']
     table = None
     if servers is not None:
-        rows = _parse_rows(_parse_entry, servers.items())
-        table = dict(rows)
+        table = _parse_table(servers)
     return Snapshot(
         packed_configuration=as_bytes(parts['configuration']),
         configuration_era=as_count(parts['configuration_era']),
         position=position,
         servers=table,
+        # VMs of older builds don't send it.
+        set_aside=_parse_table(parts.get('set_aside', {})),
         changes=tuple(
             _parse_rows(
                 partial(_parse_change, era=position.era), parts['changes']
@@ -235,6 +239,10 @@
     return parsed
 
 
+def _parse_table(table: Any) -> dict[str, bytes]:
+    return dict(_parse_rows(_parse_entry, table.items()))
+
+
 def _parse_entry(row: Any) -> tuple[str, bytes]:
     name, entry = row
     return as_name(name), as_bytes(entry)
--- a/wagtailfork/gateway/view.py
+++ b/wagtailfork/gateway/view.py
@@ -1,7 +1,7 @@
 """Local copy of the configuration and server table, with its age."""
 
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
 import attrs
@@ -60,13 +60,14 @@
     configured_at_s: float = 0
     _recovering_until_s: float = 0
     _expiring: dict[str, float] = attrs.field(factory=dict)
+    # Entries that were put in use, and newer ones that were not, by server.
+    # Together they say all that the source said up to the position.
     _raw_servers: dict[str, bytes] = attrs.field(factory=dict)
+    set_aside: dict[str, bytes] = attrs.field(factory=dict)
     _departures: Departures = attrs.field(factory=Departures)
     _settling_until_s: float = 0
-    # Entries of a restored store that are older than what is known.
+    # Servers whose entries of a restored store are older than what is known.
     _outdated: set[str] = attrs.field(factory=set)
-    # Entries of services that the configuration does not name.
-    _unplaced: dict[str, bytes] = attrs.field(factory=dict)
     evacuations: Evacuations = attrs.field(
         factory=lambda: Evacuations(SETTLING_S)
     )
@@ -117,14 +118,13 @@
             )
             return True
         if self.configuration is None:
-            self._set_unplaced_aside(found)
+            self._set_unknown_aside(found)
         self.configuration = found
         self._configuration_era = era
         self.raw_configuration = raw
         self._packed = pack(raw)
         self.configured_at_s = now_s()
-        for name, entry in list(self._unplaced.items()):
-            self._put(name, entry, source)
+        self._try_set_aside(list(self.set_aside), source)
         self._notify_change(source)
         log_event(
             _logger,
@@ -132,6 +132,7 @@
             version=found.version,
             era=era,
             routes=len(found.routes),
+            set_aside=len(self.set_aside),
             source=source,
         )
         return True
@@ -141,12 +142,13 @@
         table: Mapping[str, bytes],
         position: Position,
         source: str,
+        set_aside: Mapping[str, bytes] | None = None,
     ) -> None:
         """Replace the whole table of servers unless a later one is known.
 
         A table of the same position is applied: keys missing from it were
         removed. Those missing from a table of a later era may only be missing
-        from the copy.
+        from the copy. Another VM's table comes with what it has set aside.
         """
         if position < self.position:
             log_event(
@@ -158,11 +160,11 @@
             )
             return
         restored = self._enter_era(position.era)
-        known = self._raw_servers.keys() | self._unplaced.keys()
-        removed = known - table.keys()
-        for name in removed:
+        known = self._raw_servers.keys() | self.set_aside.keys()
+        newer = set_aside or {}
+        for name in known - table.keys() - newer.keys():
             self._remove(name, source, restored=restored)
-        for name, raw in table.items():
+        for name, raw in (*table.items(), *newer.items()):
             self._put(name, raw, source)
         self.position = position
         self._changes.restart(position)
@@ -214,7 +216,9 @@
         self.evacuations.remove_expired(now)
         if self._outdated and now >= self._settling_until_s:
             self._settling_until_s = 0
-            self._apply_outdated()
+            self._try_set_aside(sorted(self._outdated), EXPIRED)
+            self._outdated.clear()
+            self._notify_change(EXPIRED)
         expired = [
             name for name, due_s in self._expiring.items() if now >= due_s
         ]
@@ -222,6 +226,7 @@
             self._expiring.pop(name)
             self.servers.pop(name, None)
             log_event(_logger, 'server_lapsed', server=name)
+        self._try_set_aside(expired, EXPIRED)
         if expired:
             self._notify_change(EXPIRED)
 
@@ -245,6 +250,7 @@
             configuration,
             position=self.position,
             servers=dict(self._raw_servers),
+            set_aside=dict(self.set_aside),
             departures=self._departures.rows(),
         )
 
@@ -266,7 +272,9 @@
                 )
         elif snapshot.position > self.position:
             self._departures.merge(snapshot.departures)
-            self.replace_servers(snapshot.servers, snapshot.position, source)
+            self.replace_servers(
+                snapshot.servers, snapshot.position, source, snapshot.set_aside
+            )
 
     def _enter_era(self, era: int) -> bool:
         """Start to settle in a later era; return whether there was another."""
@@ -282,14 +290,12 @@
             self.start_recovery_window(now)
         return restored
 
-    def _apply_outdated(self) -> None:
-        names = sorted(self._outdated)
-        self._outdated.clear()
+    def _try_set_aside(self, names: Iterable[str], source: str) -> None:
+        """Put entries that were set aside in use if they can be used now."""
         for name in names:
-            raw = self._raw_servers.pop(name, None)
+            raw = self.set_aside.get(name)
             if raw is not None:
-                self._put(name, raw, EXPIRED)
-        self._notify_change(EXPIRED)
+                self._put(name, raw, source)
 
     def _is_current(self, name: str) -> bool:
         """Return whether nothing newer than a listed entry may be known."""
@@ -309,6 +315,7 @@
             # Another VM may have told of the departure.
             if in_use is not None and not in_use.draining:
                 self.servers.pop(found.name)
+                self._raw_servers.pop(found.name, None)
         elif (
             not settling
             or in_use is None
@@ -328,7 +335,7 @@
         )
         return True
 
-    def _set_unplaced_aside(self, cfg: Configuration) -> None:
+    def _set_unknown_aside(self, cfg: Configuration) -> None:
         """Remove servers listed before the first configuration was known."""
         for name, server in list(self.servers.items()):
             if server.service in cfg.services:
@@ -337,11 +344,9 @@
             raw = self._raw_servers.pop(name, None)
             if raw is not None:
                 # One without an entry was unlisted and only held.
-                self._unplaced[name] = raw
+                self.set_aside.setdefault(name, raw)
 
-    def _reject_misplaced(
-        self, found: BackendServer, raw: bytes, source: str
-    ) -> bool:
+    def _reject_misplaced(self, found: BackendServer, source: str) -> bool:
         """Return whether an entry cannot be of the server that it names.
 
         A process keeps its service. An entry of a service that is not
@@ -351,7 +356,6 @@
         cfg = self.configuration
         why = ''
         if cfg is not None and found.service not in cfg.services:
-            self._unplaced[found.name] = raw
             why = 'service_unknown'
         elif in_use is not None and _has_moved(found, in_use):
             why = 'process_moved'
@@ -368,20 +372,23 @@
         return bool(why)
 
     def _put(self, name: str, raw: bytes, source: str) -> None:
+        """Put an entry in use, or set it aside if it cannot be used."""
         if self._raw_servers.get(name) == raw and self._is_current(name):
+            self.set_aside.pop(name, None)
+            self._outdated.discard(name)
             return
-        self._unplaced.pop(name, None)
+        self.set_aside[name] = raw
         try:
             found = self.decode_server(name, raw)
         except WagtailforkError as exc:
             # An unreadable entry does not replace a known server.
             log_warning(_logger, 'server_unreadable', server=name, error=exc)
             return
-        if self._reject_misplaced(found, raw, source):
+        if self._reject_misplaced(found, source):
             return
-        self._raw_servers[name] = raw
         if self._reject_outdated(found, source):
             return
+        self._raw_servers[name] = self.set_aside.pop(name)
         self._outdated.discard(name)
         if found.draining:
             self._departures.record(found)
@@ -402,7 +409,7 @@
         self, name: str, source: str, *, restored: bool = False
     ) -> None:
         self._raw_servers.pop(name, None)
-        self._unplaced.pop(name, None)
+        self.set_aside.pop(name, None)
         self._outdated.discard(name)
         server = self.servers.get(name)
         if server is None:
