Try a quarantined request again, by one VM that all agree on

Cause: two servers lost with a request put it in quarantine, and nothing was sent any more that could clear it; answers cleared it only at their own VM, and strikes that are sent again brought it back. Strikes left no line; now they do.

Change: strikes name processes; an answer absolves at all VMs and for good; the VM with the highest hash of the fingerprint allows one trial at a time, after 1 s, 1 min, 1 h (up to twice each); a crash in a trial is a strike. Refusals say when to come again. Queued copies are refused after the second strike, and a request with a strike gets no second copy.

--- a/wagtailfork/fleet/messages.py
+++ b/wagtailfork/fleet/messages.py
@@ -17,11 +17,11 @@
 from .position import START, Edition, Position
 from .spill_messages import SPILL_PARSERS, SpillMessage, render_spill
 from .token_messages import TOKEN_PARSERS, TokenMessage, render_tokens
-from .wire_values import as_address, as_count, as_number, as_text
+from .trial_messages import TRIAL_PARSERS, TrialMessage, render_trial
+from .wire_values import as_address, as_count, as_text
 
 _MAX_ERROR_CHARS: Final = 99  # of a decoder error
 _HEARTBEAT_KIND: Final = 1
-_STRIKE_KIND: Final = 3
 _HEARTBEAT_REQUEST_KIND: Final = 4
 _MEMBER_NUMBERS: Final = slice(4, None)  # integer fields of a member row
 _KNOWLEDGE_NUMBERS: Final = slice(3, None)  # of those, what the VM knows
@@ -50,22 +50,14 @@
     member: Member
 
 
-@attrs.frozen
-class Strike:
-    """Report that a request crashed a backend server."""
-
-    fingerprint: int
-    server: str
-
-
 Message = (
     Heartbeat
     | HeartbeatRequest
-    | Strike
     | PlacementMessage
     | AgeMessage
     | TokenMessage
     | SpillMessage
+    | TrialMessage
 )
 
 
@@ -85,11 +77,6 @@
     return cbor2.dumps([_HEARTBEAT_REQUEST_KIND, _member_row(message.member)])
 
 
-@encode.register
-def _(message: Strike) -> bytes:
-    return cbor2.dumps([_STRIKE_KIND, message.fingerprint, message.server])
-
-
 @encode.register
 def _(message: PlacementMessage) -> bytes:
     return cbor2.dumps(render_placement(message))
@@ -110,11 +97,17 @@
     return cbor2.dumps(render_spill(message))
 
 
+@encode.register
+def _(message: TrialMessage) -> bytes:
+    return cbor2.dumps(render_trial(message))
+
+
 def decode(raw: bytes) -> Message:
     r"""Decode a datagram or raise ``frame_malformed``.
 
+    >>> from .trial_messages import Strike
     >>> decode(encode(Strike(5, 'a')))
-    Strike(fingerprint=5, server='a')
+    Strike(fingerprint=5, server='a', started_ms=0, trial=False)
     >>> decode(b'\x00')
     Traceback (most recent call last):
     ...
@@ -246,9 +239,9 @@
     _HEARTBEAT_REQUEST_KIND: lambda parts: HeartbeatRequest(
         _parse_member(parts[0])
     ),
-    _STRIKE_KIND: lambda parts: Strike(as_number(parts[0]), as_text(parts[1])),
     **PLACEMENT_PARSERS,
     **AGE_PARSERS,
     **TOKEN_PARSERS,
     **SPILL_PARSERS,
+    **TRIAL_PARSERS,
 }
--- a/wagtailfork/gateway/call.py
+++ b/wagtailfork/gateway/call.py
@@ -65,6 +65,7 @@
     deadline_at_s: float
     identity: Identity  # as admitted
     fingerprint: str = ''
+    trial: bool = False  # of a request in quarantine
     sends: int = 0
     tries: int = 0
     sent_at_s: float = 0
--- a/wagtailfork/gateway/crash_detector.py
+++ b/wagtailfork/gateway/crash_detector.py
@@ -1,7 +1,6 @@
 """Detect whether a lost response means that the request crashed the server."""
 
 import asyncio
-from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -9,46 +8,54 @@
 from ..core.clock import now_s
 from ..http1.backend import connect
 from ..http1.responses import RequestNotSent
-from ..routing.quarantine import Quarantine
+from ..routing.quarantine import Crash
 from .backend_registry import BackendRegistry
+from .call import Call
+from .model import BackendServer
+from .trials import Trials
 
 CHECK_DELAY_S: Final = 0.05  # time for a crashed process to release its socket
 CONNECT_TIMEOUT_S: Final = 0.4  # six round trips between regions
 
 
-@attrs.define(eq=False, kw_only=True)
+@attrs.define(eq=False)
 class CrashDetector:
     """Record a strike for each request after which a server is unreachable."""
 
     backends: BackendRegistry
-    quarantine: Quarantine
-    broadcast: Callable[[str, str], None]
+    trials: Trials
     _tasks: set['asyncio.Task[None]'] = attrs.field(factory=set)
 
-    def check_server(self, fingerprint: str, server: str) -> None:
+    def check_server(self, call: Call, server: str) -> None:
         """Check in the background whether a server accepts connections."""
         entry = self.backends.server(server)
         if entry is None:
             return
-        check = self._check(fingerprint, server, entry.address)
+        check = self._check(call.fingerprint, entry, trial=call.trial)
         task = asyncio.create_task(check)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _check(self, fingerprint: str, server: str, address: str) -> None:
+    async def _check(
+        self, fingerprint: str, entry: BackendServer, *, trial: bool
+    ) -> None:
         await asyncio.sleep(CHECK_DELAY_S)
-        host, _, port = address.rpartition(':')
+        host, _, port = entry.address.rpartition(':')
         try:
             conn = await connect(host, int(port), CONNECT_TIMEOUT_S)
         except RequestNotSent:
-            self._strike(fingerprint, server)
-        else:
-            conn.close()
-
-    def _strike(self, fingerprint: str, server: str) -> None:
-        now = now_s()
-        candidate = self.backends.candidate(server)
+            self._strike(fingerprint, entry, trial=trial)
+            return
+        conn.close()
+        if trial:
+            # The server survived it.
+            self.trials.give_back(fingerprint)
+
+    def _strike(
+        self, fingerprint: str, entry: BackendServer, *, trial: bool
+    ) -> None:
+        candidate = self.backends.candidate(entry.name)
         if candidate is not None:
-            candidate.load.eject(now)
-        self.quarantine.strike(fingerprint, server, now)
-        self.broadcast(fingerprint, server)
+            candidate.load.eject(now_s())
+        crash = Crash(entry.name, entry.started_ms)
+        self.trials.record_crash(fingerprint, crash, trial=trial)
--- a/wagtailfork/gateway/fleet_link.py
+++ b/wagtailfork/gateway/fleet_link.py
@@ -1,10 +1,9 @@
 """Dispatch of the datagrams between this VM and the other VMs."""
 
-import asyncio
 import logging
 from collections.abc import Callable
 from functools import singledispatchmethod
-from typing import Any, Final
+from typing import Any
 
 import attrs
 
@@ -17,7 +16,6 @@
     Heartbeat,
     HeartbeatRequest,
     Message,
-    Strike,
 )
 from ..fleet.placement_messages import (
     Placed,
@@ -33,29 +31,33 @@
     SpillOffer,
     SpillWant,
 )
-from ..routing.quarantine import Quarantine
+from ..fleet.trial_messages import (
+    Absolution,
+    Strike,
+    TrialDecision,
+    TrialMessage,
+    TrialRequest,
+    TrialReturn,
+)
 from .freshness import ConfigurationAge
 from .heartbeats import Heartbeats
 from .placement_client import PlacementClient
 from .placement_coordinator import PlacementCoordinator
 from .quotas import Quotas
 from .snapshot_fetcher import SnapshotFetcher
+from .trials import Trials
 from .view import View
 
-_HEX: Final = 16
-STRIKE_RESEND_DELAYS_S: Final = (0.3, 1.0)
-MAX_STRIKES_SENT: Final = 32  # to a new VM; the latest ones
-
 _logger = logging.getLogger(__name__)
 
 
 @attrs.define(eq=False, kw_only=True)
 class FleetLink:
-    """Send and receive heartbeats, placements and strikes."""
+    """Send and receive heartbeats, placements and reports of crashes."""
 
     membership: Membership
     view: View
-    quarantine: Quarantine
+    trials: Trials
     placer: PlacementClient
     coordinator: PlacementCoordinator
     quotas: Quotas
@@ -98,17 +100,6 @@
         """Send a message to some VMs."""
         self._datagrams.send(message, addresses)
 
-    def broadcast_strike(self, fingerprint: str, server: str) -> None:
-        """Send all VMs a strike against a request that crashed a server.
-
-        The message is repeated because datagrams can be lost.
-        """
-        message = Strike(int(fingerprint, _HEX), server)
-        self._send_to_all(message)
-        loop = asyncio.get_running_loop()
-        for delay_s in STRIKE_RESEND_DELAYS_S:
-            loop.call_later(delay_s, self._send_to_all, message)
-
     @singledispatchmethod
     def _receive(self, message: Any) -> None:
         log_warning(_logger, 'message_unknown', kind=type(message).__name__)
@@ -122,14 +113,9 @@
     @_receive.register
     def _(self, message: HeartbeatRequest) -> None:
         if self.heartbeats.handle_heartbeat_request(message):
-            self._send_strikes(message.member.address)
+            self.trials.send_strikes(message.member.address)
         self.snapshot_fetcher.fetch_if_newer(message.member)
 
-    @_receive.register
-    def _(self, message: Strike) -> None:
-        fingerprint = f'{message.fingerprint:08x}'
-        self.quarantine.strike(fingerprint, message.server, now_s())
-
     @_receive.register
     def _(self, message: AgeRequest) -> None:
         report = self.age.report(message.number, now_s())
@@ -174,6 +160,14 @@
         if self.coordinator.spill is not None:
             self.coordinator.spill.handle_answer(message)
 
+    @_receive.register(Strike)
+    @_receive.register(TrialRequest)
+    @_receive.register(TrialDecision)
+    @_receive.register(TrialReturn)
+    @_receive.register(Absolution)
+    def _on_trial(self, message: TrialMessage) -> None:
+        self.trials.receive(message)
+
     @_receive.register(Placed)
     @_receive.register(PlacementQueued)
     @_receive.register(PlacementDeclined)
@@ -181,13 +175,3 @@
         self, message: Placed | PlacementQueued | PlacementDeclined
     ) -> None:
         self.placer.handle_response(message)
-
-    def _send_to_all(self, message: Strike) -> None:
-        recipients = [one.address for one in self.membership.alive(now_s())]
-        self._datagrams.send(message, recipients)
-
-    def _send_strikes(self, address: str) -> None:
-        """Send a new VM the latest strikes."""
-        for fingerprint, server in self.quarantine.strikes(MAX_STRIKES_SENT):
-            message = Strike(int(fingerprint, _HEX), server)
-            self._datagrams.send(message, [address])
--- a/wagtailfork/gateway/forwarder.py
+++ b/wagtailfork/gateway/forwarder.py
@@ -22,6 +22,7 @@
 from .responder import Responder
 from .second_copy import HedgePolicy
 from .sender import Sender
+from .trials import FREE, Trials
 from .view import View
 
 DEFAULT_DEADLINE_S: Final = 10.0  # for requests that carry no deadline
@@ -46,9 +47,14 @@
     sender: Sender
     hedging: HedgePolicy
     responder: Responder
-    quarantine: Quarantine = attrs.field(factory=Quarantine)
+    trials: Trials
     round_robin: WeightedRoundRobin = attrs.field(factory=WeightedRoundRobin)
 
+    @property
+    def quarantine(self) -> Quarantine:
+        """Return the requests that may have crashed servers."""
+        return self.trials.quarantine
+
     async def handle(self, req: CallerRequest) -> None:
         """Respond to one request."""
         metadata = self.dialect.read_request(req)
@@ -157,20 +163,41 @@
             HEADERS_KB + response_kb + call.req.body.size / _KB
         )
         call.fingerprint = fingerprint_of(call.req)
-        if self.quarantine.is_refused(call.fingerprint, now_s()):
+        admission = await self.trials.admit(call.fingerprint)
+        if admission != FREE:
+            self.log.emit(
+                'quarantined',
+                id=call.metadata.request_id,
+                fingerprint=call.fingerprint,
+                trial=admission.trial,
+                wait_s=admission.wait_s or 0,
+            )
+        if admission.wait_s is not None:
             self.responder.refuse_call(
                 call,
                 ResultCode.overloaded,
-                None,
+                admission.wait_s,
                 ResultCode.quarantined.name,
             )
             return
-        result = await self._send_with_retries(call)
-        if result.usable and self.quarantine.is_suspect(call.fingerprint):
-            # A server that responded did not crash on this request.
-            self.quarantine.absolve(call.fingerprint)
+        call.trial = admission.trial
+        try:
+            result = await self._send_with_retries(call)
+        finally:
+            if call.trial and not call.sends:
+                self.trials.give_back(call.fingerprint)
+        self._record_evidence(call, result)
         await self.responder.finish(call, result)
 
+    def _record_evidence(self, call: Call, result: SendResult) -> None:
+        """Absolve a request if a server ran it and responded."""
+        if result.response is not None and not result.rejected:
+            if self.quarantine.is_suspect(call.fingerprint):
+                self.trials.record_answer(call.fingerprint)
+        elif call.trial and call.sends and not call.may_have_run:
+            # The server stated that it did not run it.
+            self.trials.give_back(call.fingerprint)
+
     async def _send_with_retries(self, call: Call) -> SendResult:
         fallback: SendResult | None = None
         while True:
@@ -210,6 +237,8 @@
             return False
         if call.left_s() <= RESPONSE_MARGIN_S:
             return False
+        if call.trial:
+            return not result.delivered
         return not self.quarantine.is_refused(call.fingerprint, now_s())
 
     async def _send_hedged(self, call: Call) -> SendResult:
@@ -241,6 +270,9 @@
     def _hedge_check_in_s(self, call: Call) -> float | None:
         if call.hedged or not call.route.repeatable:
             return None
+        if self.quarantine.is_suspect(call.fingerprint):
+            # Each copy may crash a server.
+            return None
         return self.hedging.next_check_in_s(call)
 
     async def _maybe_hedge(
--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -57,6 +57,7 @@
 from .spill_exchange import SpillExchange
 from .statement_recorder import StatementRecorder
 from .traffic_keeper import TrafficReplicator
+from .trials import Trials
 from .view import STORE, View
 from .warm_up_recorder import WarmUpRecorder
 
@@ -160,13 +161,14 @@
             self.appends.append,
             cfg.traffic_flush_s,
         )
+        self.trials = Trials(
+            membership=self.membership,
+            send=self._send_to_vms,
+            log=self.log,
+        )
+        self.crash_detector = CrashDetector(self.backends, self.trials)
         self.forwarder = self._make_forwarder()
         self.link = self._make_link()
-        self.crash_detector = CrashDetector(
-            backends=self.backends,
-            quarantine=self.forwarder.quarantine,
-            broadcast=self.link.broadcast_strike,
-        )
         self.reader_election = ReaderElection(
             membership=self.membership,
             reads_store=self._reads_store,
@@ -289,6 +291,7 @@
                 meters=self.meters,
                 age=self.age,
             ),
+            trials=self.trials,
         )
 
     def _make_sender(self) -> Sender:
@@ -297,12 +300,13 @@
             placer=self.placer,
             dialect=self.adapter.dialect,
             log=self.log,
-            suspect_crash=self._suspect_crash,
+            suspect_crash=self.crash_detector.check_server,
             limits=self.limits,
             statements=self.statements,
             answers=AnswerRecorder(self.log, self.meters),
             planned_stop=self.planned_stop,
             gate=self.gate,
+            quarantine=self.trials.quarantine,
             record_send=TrafficAccounting(
                 ledger=self.ledger,
                 meters=self.meters,
@@ -325,7 +329,7 @@
         return FleetLink(
             membership=self.membership,
             view=self.view,
-            quarantine=self.forwarder.quarantine,
+            trials=self.trials,
             placer=self.placer,
             coordinator=self.coordinator,
             quotas=self.quotas,
@@ -486,9 +490,6 @@
     def _send_to_vms(self, message: Message, addresses: list[str]) -> None:
         self.link.send(message, addresses)
 
-    def _suspect_crash(self, fingerprint: str, server: str) -> None:
-        self.crash_detector.check_server(fingerprint, server)
-
     def _on_view_changed(self, source: str) -> None:
         self.backends.evacuate(self.view.evacuations.domains)
         self.backends.update(self.view.servers)
--- a/wagtailfork/gateway/sender.py
+++ b/wagtailfork/gateway/sender.py
@@ -16,6 +16,7 @@
 from ..http1.responses import BackendResponse, RequestNotSent, ResponseError
 from ..routing.candidate import Candidate
 from ..routing.load import NEARLY_FULL_SHARE
+from ..routing.quarantine import Quarantine
 from ..routing.queued_request import Refused
 from ..routing.work_time import ServiceTimes
 from .answer_recorder import AnswerRecorder
@@ -30,6 +31,8 @@
 
 CONNECT_TIMEOUT_S: Final = 0.4  # six round trips between regions
 STOPPING_RETRY_AFTER_S: Final = 0.05  # other VMs are ready now
+QUARANTINED_RETRY_AFTER_S: Final = 1.0  # until the first trial
+_QUARANTINED: Final = ResultCode.quarantined.name
 _SERVER_ERROR: Final = 500
 _SUCCESS: Final = frozenset(range(200, 300))  # noqa: WPS432
 _MIN_TIMEOUT_S: Final = 0.001
@@ -63,13 +66,14 @@
     placer: PlacementClient
     dialect: Dialect
     log: EventLog
-    suspect_crash: Callable[[str, str], None]
+    suspect_crash: Callable[[Call, str], None]
     record_send: RecordSend
     limits: LimitRecorder
     statements: StatementRecorder
     answers: AnswerRecorder
     planned_stop: PlannedStop
     gate: KeyGate
+    quarantine: Quarantine
     service_times: ServiceTimes = attrs.field(factory=ServiceTimes)
 
     async def send(self, call: Call) -> SendResult:
@@ -105,6 +109,12 @@
     ) -> SendResult:
         if not self.planned_stop.may_send(call.deadline_at_s, now_s()):
             return _refuse_stopping()
+        if not call.trial and self.quarantine.is_refused(
+            call.fingerprint, now_s()
+        ):
+            # Copies of it have crashed servers while it was queued.
+            refusal = Refused(_QUARANTINED, QUARANTINED_RETRY_AFTER_S)
+            return SendResult(reason=refusal.reason, refusal=refusal)
         try:
             conn = await self.pool.acquire(
                 candidate.address,
@@ -315,7 +325,7 @@
         self.record_send(call, candidate, 'unknown', 0)
         candidate.load.record_outcome(now_s(), failed=True)
         self.pool.drop(candidate.address)
-        self.suspect_crash(call.fingerprint, candidate.name)
+        self.suspect_crash(call, candidate.name)
         self.log.emit(
             'answer_lost',
             important=True,
--- a/wagtailfork/gateway/tests/virtual_time.py
+++ b/wagtailfork/gateway/tests/virtual_time.py
@@ -13,6 +13,7 @@
     placement_client,
     placement_coordinator,
     spill_exchange,
+    trials,
 )
 
 _CLOCKED = (
@@ -21,6 +22,7 @@
     placement_client,
     placement_coordinator,
     spill_exchange,
+    trials,
 )
 
 
--- /dev/null
+++ b/wagtailfork/gateway/trials.py
@@ -0,0 +1,327 @@
+"""Trials of quarantined requests, on which all VMs agree.
+
+One VM, chosen by the fingerprint, decides which VM may send a quarantined
+request once more and when. All VMs hear of the outcome: an answer absolves the
+request, a crash is one more strike.
+"""
+
+import asyncio
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import Final
+
+import attrs
+
+from ..core.clock import now_s
+from ..core.event_log import EventLog
+from ..fleet.member import rendezvous
+from ..fleet.members import Membership
+from ..fleet.messages import Message
+from ..fleet.trial_messages import (
+    Absolution,
+    Strike,
+    TrialDecision,
+    TrialMessage,
+    TrialRequest,
+    TrialReturn,
+)
+from ..routing.quarantine import MAX_FINGERPRINTS, Crash, Quarantine
+
+# Before each trial, after the strike or the trial before it. A crashing request
+# may reach three servers after its third crash.
+TRIAL_DELAYS_S: Final = (1.0, 60.0, 3600.0)
+QUARANTINE_S: Final = 7200.0  # longer than any delay
+PENDING_S: Final = 1.0  # in which the outcome of a trial is expected
+ASK_TIMEOUT_S: Final = 0.25  # four round trips between regions
+STRIKE_RESEND_DELAYS_S: Final = (0.3, 1.0)
+MAX_STRIKES_SENT: Final = 32  # to a new VM; the latest ones
+_HEX: Final = 16
+_MS: Final = 1000
+_SPREAD: Final = 1000
+
+
+@attrs.frozen
+class Admission:
+    """Tell whether a request may be sent, once as a trial, or must wait."""
+
+    wait_s: float | None = None
+    trial: bool = False
+
+
+FREE: Final = Admission()
+
+
+@attrs.define
+class _Granted:
+    count: int = 0
+    last_s: float = 0
+
+
+def delay_s(fingerprint: str, trials: int) -> float:
+    """Return the delay before a trial, up to twice ``TRIAL_DELAYS_S``.
+
+    Requests that were lost with the same servers are not tried together.
+
+    >>> delay_s('00000000', 0), delay_s('000001f4', 1), delay_s('0', 99)
+    (1.0, 90.0, 3600.0)
+    """
+    least_s = TRIAL_DELAYS_S[min(trials, len(TRIAL_DELAYS_S) - 1)]
+    return least_s * (1 + int(fingerprint, _HEX) % _SPREAD / _SPREAD)
+
+
+@attrs.define(eq=False)
+class TrialSchedule:
+    """Decide when the requests of which this VM is in charge are tried.
+
+    >>> quarantine = Quarantine()
+    >>> schedule = TrialSchedule(quarantine)
+    >>> for server in ('a', 'b'):
+    ...     quarantine.strike('00', server, now=5)
+    >>> schedule.decide('00', now=5.5), schedule.decide('00', now=6)
+    (0.5, 0)
+    >>> schedule.decide('00', now=6.5), schedule.decide('00', now=16)
+    (0.5, 50.0)
+    """
+
+    quarantine: Quarantine
+    _granted: dict[str, _Granted] = attrs.field(factory=dict)
+
+    def decide(self, fingerprint: str, now: float) -> float:
+        """Return the seconds until a trial may be asked for, 0 to allow one."""
+        granted = self._granted.setdefault(fingerprint, _Granted())
+        trials = max(granted.count, self.quarantine.failed_trials(fingerprint))
+        last_s = max(granted.last_s, self.quarantine.last_strike_s(fingerprint))
+        wait_s = last_s + delay_s(fingerprint, trials) - now
+        if wait_s > 0:
+            pending_s = granted.last_s + PENDING_S - now
+            return pending_s if pending_s > 0 else wait_s
+        granted.count = trials + 1
+        granted.last_s = now
+        self._bound()
+        return 0
+
+    def give_back(self, fingerprint: str) -> None:
+        """Take back a trial that told nothing."""
+        granted = self._granted.get(fingerprint)
+        if granted is not None:
+            granted.count = max(0, granted.count - 1)
+
+    def forget(self, fingerprint: str) -> None:
+        """Forget the trials of a request that was answered."""
+        self._granted.pop(fingerprint, None)
+
+    def _bound(self) -> None:
+        while len(self._granted) > MAX_FINGERPRINTS:
+            self._granted.pop(next(iter(self._granted)))
+
+
+@attrs.define(eq=False, kw_only=True)
+class Trials:
+    """Tell other VMs of crashes and answers, and agree with them on trials."""
+
+    membership: Membership
+    send: Callable[[Message, list[str]], None]
+    log: EventLog
+    quarantine: Quarantine = attrs.field(
+        factory=lambda: Quarantine(kept_s=QUARANTINE_S)
+    )
+    schedule: TrialSchedule = attrs.field(init=False)
+    _next_ask_s: dict[str, float] = attrs.field(factory=dict)
+    _waiters: dict[str, 'asyncio.Future[float]'] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the schedule."""
+        self.schedule = TrialSchedule(self.quarantine)
+
+    async def admit(self, fingerprint: str) -> Admission:
+        """Return whether a request may be sent."""
+        now = now_s()
+        if not self.quarantine.is_refused(fingerprint, now):
+            return FREE
+        due_s = self._next_ask_s.get(fingerprint)
+        if due_s is None:
+            first_s = self.quarantine.last_strike_s(fingerprint)
+            due_s = first_s + delay_s(fingerprint, 0)
+        if now < due_s:
+            return Admission(wait_s=due_s - now)
+        self._ask_again_at(fingerprint, now + ASK_TIMEOUT_S)
+        wait_s = await self._ask(fingerprint, now)
+        now = now_s()
+        if not self.quarantine.is_refused(fingerprint, now):
+            return FREE
+        self._ask_again_at(fingerprint, now + (wait_s or PENDING_S))
+        self.log.emit(
+            'trial_asked',
+            important=True,
+            fingerprint=fingerprint,
+            arbiter=self._arbiter(fingerprint),
+            crashed=len(self.quarantine.crashes(fingerprint)),
+            allowed=not wait_s,
+            wait_s=wait_s,
+        )
+        return Admission(wait_s=wait_s or None, trial=not wait_s)
+
+    def record_crash(
+        self, fingerprint: str, crash: Crash, *, trial: bool
+    ) -> None:
+        """Record a strike of this VM and send it to all others.
+
+        The message is repeated because datagrams can be lost.
+        """
+        self.quarantine.strike(
+            fingerprint, crash.server, now_s(), crash.started_ms, trial=trial
+        )
+        self.log.emit(
+            'request_struck',
+            important=True,
+            fingerprint=fingerprint,
+            server=crash.server,
+            started_ms=crash.started_ms,
+            trial=trial,
+            crashed=len(self.quarantine.crashes(fingerprint)),
+        )
+        message = _strike(fingerprint, crash, trial=trial)
+        self.send(message, self._others())
+        loop = asyncio.get_running_loop()
+        for seconds in STRIKE_RESEND_DELAYS_S:
+            loop.call_later(seconds, self._send_again, message)
+
+    def send_strikes(self, address: str) -> None:
+        """Send a new VM the latest strikes."""
+        for row in self.quarantine.strikes(MAX_STRIKES_SENT):
+            fingerprint, crash, trial = row
+            message = _strike(fingerprint, crash, trial=trial)
+            self.send(message, [address])
+
+    def record_answer(self, fingerprint: str) -> None:
+        """Absolve a request that a server answered, at all VMs."""
+        crashes = self.quarantine.crashes(fingerprint)
+        self._absolve(fingerprint, crashes)
+
+    def give_back(self, fingerprint: str) -> None:
+        """Report that a trial told nothing about the request."""
+        self._ask_again_at(fingerprint, now_s() + TRIAL_DELAYS_S[0])
+        arbiter = self._arbiter(fingerprint)
+        if arbiter == self.membership.me.address:
+            self.schedule.give_back(fingerprint)
+        else:
+            self.send(TrialReturn(int(fingerprint, _HEX)), [arbiter])
+
+    @singledispatchmethod
+    def receive(self, message: TrialMessage) -> None:
+        """Handle a message of another VM."""
+        raise TypeError(f'no handler of {type(message).__name__}')
+
+    @receive.register
+    def _(self, message: Strike) -> None:
+        self.quarantine.strike(
+            _text(message.fingerprint),
+            message.server,
+            now_s(),
+            message.started_ms,
+            trial=message.trial,
+        )
+
+    @receive.register
+    def _(self, message: TrialRequest) -> None:
+        # The sender may have missed an absolution, or this VM some strikes.
+        fingerprint = _text(message.fingerprint)
+        now = now_s()
+        absolved = self.quarantine.absolved(fingerprint, message.crashes)
+        if absolved:
+            known = Absolution(message.fingerprint, absolved)
+            self.send(known, [message.sender])
+        for one in message.crashes:
+            self.quarantine.strike(fingerprint, one.server, now, one.started_ms)
+        if self.quarantine.is_refused(fingerprint, now):
+            wait_s = self.schedule.decide(fingerprint, now)
+            decision = TrialDecision(message.fingerprint, round(wait_s * _MS))
+            self.send(decision, [message.sender])
+
+    @receive.register
+    def _(self, message: TrialDecision) -> None:
+        self._resolve(_text(message.fingerprint), message.wait_ms / _MS)
+
+    @receive.register
+    def _(self, message: TrialReturn) -> None:
+        self.schedule.give_back(_text(message.fingerprint))
+
+    @receive.register
+    def _(self, message: Absolution) -> None:
+        self._absolve(_text(message.fingerprint), message.crashes, told=True)
+
+    def _absolve(
+        self,
+        fingerprint: str,
+        crashes: tuple[Crash, ...],
+        *,
+        told: bool = False,
+    ) -> None:
+        is_new = self.quarantine.absolve_crashes(fingerprint, crashes)
+        self.schedule.forget(fingerprint)
+        self._next_ask_s.pop(fingerprint, None)
+        self._resolve(fingerprint, PENDING_S)
+        if not is_new:
+            return
+        self.log.emit(
+            'request_absolved',
+            important=True,
+            fingerprint=fingerprint,
+            strikes=len(crashes),
+            told=told,
+        )
+        message = Absolution(int(fingerprint, _HEX), crashes)
+        arbiter = self._arbiter(fingerprint)
+        if arbiter == self.membership.me.address:
+            self.send(message, self._others())
+        elif not told:
+            self.send(message, [arbiter])
+
+    def _resolve(self, fingerprint: str, wait_s: float) -> None:
+        """Pass a decision to the request that waits for it."""
+        waiter = self._waiters.get(fingerprint)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(wait_s)
+
+    def _send_again(self, message: Strike) -> None:
+        self.send(message, self._others())
+
+    async def _ask(self, fingerprint: str, now: float) -> float:
+        """Return the seconds until a trial may be asked for, 0 to send one."""
+        arbiter = self._arbiter(fingerprint)
+        me = self.membership.me.address
+        if arbiter == me:
+            return self.schedule.decide(fingerprint, now)
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters[fingerprint] = waiter
+        crashes = self.quarantine.crashes(fingerprint)
+        self.send(TrialRequest(me, int(fingerprint, _HEX), crashes), [arbiter])
+        try:
+            async with asyncio.timeout(ASK_TIMEOUT_S):
+                return await waiter
+        except TimeoutError:
+            return PENDING_S
+        finally:
+            self._waiters.pop(fingerprint, None)
+
+    def _arbiter(self, fingerprint: str) -> str:
+        """Return the VM that decides on the trials of a request."""
+        me = self.membership.me.address
+        return rendezvous(fingerprint, [me, *self._others()]) or me
+
+    def _others(self) -> list[str]:
+        return [one.address for one in self.membership.alive(now_s())]
+
+    def _ask_again_at(self, fingerprint: str, due_s: float) -> None:
+        self._next_ask_s[fingerprint] = due_s
+        while len(self._next_ask_s) > MAX_FINGERPRINTS:
+            self._next_ask_s.pop(next(iter(self._next_ask_s)))
+
+
+def _strike(fingerprint: str, crash: Crash, *, trial: bool) -> Strike:
+    number = int(fingerprint, _HEX)
+    return Strike(number, crash.server, crash.started_ms, trial)
+
+
+def _text(fingerprint: int) -> str:
+    return f'{fingerprint:08x}'
