Play crashes of domains and a crashing path in the soak

A popular path (60/s), a path that crashes each server that begins it (3/s) and crashes of all servers of a domain, with two rules: STARVED and BUDGET.

A run of 25 s is part of the tests.

--- a/wagtailfork/cli/soak.py
+++ b/wagtailfork/cli/soak.py
@@ -12,6 +12,7 @@
 
 from ..core.event_log import render_pair
 from ..soak.answers import GROUPS
+from ..soak.crash_play import CRASH_DOMAIN
 from ..soak.deployment import Deployment
 from ..soak.disruptions import KINDS
 from ..soak.key_disruptions import CUSTOMER_KINDS
@@ -93,6 +94,11 @@
     type=click.IntRange(0),
     help='Callers that send several requests at once, beyond the others.',
 )
+@click.option(
+    '--crashes/--no-crashes',
+    default=False,
+    help='A popular path, one that crashes its servers, crashes of domains.',
+)
 @click.option(
     '--checkout',
     default='',
@@ -116,6 +122,8 @@
     kinds = (*KINDS, *LINK_KINDS) if linked else KINDS
     if options['customers']:
         kinds = (*kinds, *CUSTOMER_KINDS)
+    if options['crashes']:
+        kinds = (*kinds, CRASH_DOMAIN)
     plan = SoakPlan(
         answers=_split(answers, GROUPS, '--answers'),
         disruptions=_split(disruptions, kinds, '--disruptions'),
--- a/wagtailfork/soak/deployment.py
+++ b/wagtailfork/soak/deployment.py
@@ -13,8 +13,8 @@
 from ..core.server import HttpServer, bind
 from ..standin.keyed_store import KeyedStoreStandin
 from ..tests.rig_tools import free_port
-from .answers import COPIED, weights_of
 from .callers import AGAIN_SHARE, LONGEST_DEADLINE_S, PATIENCE_S, Caller
+from .crash_play import CrashPlay
 from .customer_play import CustomerPlay
 from .disruptions import Disruptor
 from .gateways import GatewayProcess
@@ -48,6 +48,7 @@
     rules: TimedRules = attrs.field(factory=TimedRules)
     links: Links = attrs.field(init=False)
     customer_play: CustomerPlay = attrs.field(init=False)
+    crash_play: CrashPlay | None = None
     operators: Operators = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -123,8 +124,8 @@
             address=f'127.0.0.1:{free_port()}',
             record=self.record,
             rng=random.Random(rng.random()),  # noqa: S311
-            weights=weights_of(self.plan.answers),
-            copies=COPIED in self.plan.answers,
+            weights=self.plan.weights,
+            copies=self.plan.copies,
         )
         await server.start()
         await self.links.open(server.address)
@@ -145,6 +146,9 @@
             for number in range(self.plan.callers)
         ]
         tasks = [asyncio.create_task(caller.run(until_s)) for caller in callers]
+        if self.plan.crashes:
+            self.crash_play = self._make_crash_play(rng)
+            tasks.append(asyncio.create_task(self.crash_play.run(until_s)))
         others = []
         if self.plan.disrupted:
             disruptor = self._make_disruptor(rng)
@@ -171,6 +175,8 @@
             for one in self.gateways
         }
         self.record.late = self.rules.judge(self.record.requests, disruptions)
+        if self.crash_play is not None:
+            self.record.late.extend(self.crash_play.judge(disruptions))
         self.record.judged_in_touch = self.rules.judged
         self.record.ended = [
             f'{one.vm}: {one.exit_status}'
@@ -181,6 +187,18 @@
     def _addresses(self) -> list[str]:
         return [self.links.reach(one.address) for one in self.gateways]
 
+    def _make_crash_play(self, rng: random.Random) -> CrashPlay:
+        play = CrashPlay(
+            record=self.record,
+            servers=self.servers,
+            rng=random.Random(rng.random()),  # noqa: S311
+            addresses=self._addresses,
+            register=self._register,
+        )
+        for server in self.servers:
+            server.on_crashing_path = play.crash_by_request
+        return play
+
     def _make_pipelined(
         self, rng: random.Random, number: int
     ) -> PipelinedCaller:
@@ -216,6 +234,7 @@
             store_disruptions=self.rules.store,
             more_kinds={
                 **link_disruptor.kinds(),
+                **(self.crash_play.kinds() if self.crash_play else {}),
                 **self.customer_play.kinds(
                     self.gateways, self.operators, busy, held
                 ),
--- a/wagtailfork/soak/plan.py
+++ b/wagtailfork/soak/plan.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from .answers import COPIED, weights_of
+
 MAX_GATEWAYS: Final = 150  # processes
 MAX_SECONDS: Final = 600.0
 REGIONS: Final = {'a': 'south', 'b': 'south', 'c': 'north', 'd': 'north'}
@@ -46,4 +48,17 @@
     pipelined: int = attrs.field(default=0, validator=attrs.validators.ge(0))
     # Whether there are customers with keys, quotas, homes and evacuations.
     customers: bool = False
+    # Whether callers ask for one path that is popular, and for one that crashes
+    # its servers; domains crash too.
+    crashes: bool = False
     checkout: str = ''  # of the build to run; empty: the installed one
+
+    @property
+    def weights(self) -> dict[str, float]:
+        """Return the weight of each answer of a server."""
+        return weights_of(self.answers)
+
+    @property
+    def copies(self) -> bool:
+        """Return whether servers repeat refusals of ids that return."""
+        return COPIED in self.answers
--- a/wagtailfork/soak/servers.py
+++ b/wagtailfork/soak/servers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -21,6 +22,7 @@
 QUEUE: Final = 6  # requests beyond the slots
 # Of health checks at an address with a stale name: those that bear no name.
 NAMELESS_SHARE: Final = 0.8
+CRASHING_PATH: Final = '/look/poison'  # crashes each server that begins it
 MEAN_WORK_S: Final = 0.06
 IDLE_CLOSE_SHARE: Final = 0.03  # of answers after which the server forgets
 EARLY_SHARE: Final = 0.2  # of large uploads answered before their end
@@ -92,6 +94,8 @@
     stale_names: set[str] = attrs.field(factory=set)  # at its address
     running: int = 0
     waiting: int = 0
+    up: bool = False
+    on_crashing_path: 'Callable[[SoakServer], None] | None' = None
     _slots: asyncio.Semaphore = attrs.field(
         factory=lambda: asyncio.Semaphore(SLOTS)
     )
@@ -101,6 +105,7 @@
 
     async def start(self) -> None:
         """Listen on the address."""
+        self.up = True
         host, _, port = self.address.rpartition(':')
         self._server = await asyncio.start_server(
             self._serve_connection, host, int(port), reuse_address=True
@@ -108,6 +113,7 @@
 
     def crash(self) -> None:
         """Reset all connections and stop listening."""
+        self.up = False
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
@@ -246,6 +252,10 @@
         return True
 
     async def _play(self, reply: _Reply) -> None:
+        if reply.head.target == CRASHING_PATH and self.on_crashing_path:
+            await reply.run()
+            self.on_crashing_path(self)
+            return
         names = list(self.weights)
         name = self.rng.choices(names, list(self.weights.values()))[0]
         self.record.plays[name] += 1
--- a/wagtailfork/soak/tests/test_soak.py
+++ b/wagtailfork/soak/tests/test_soak.py
@@ -8,6 +8,7 @@
 import testtools
 
 from ..answers import GROUPS
+from ..crash_play import CRASH_DOMAIN
 from ..deployment import Deployment
 from ..plan import SoakPlan
 from ..record import Record
@@ -15,6 +16,7 @@
 SECONDS: Final = 12.0
 SHORT_SECONDS: Final = 5.0
 CUSTOMERS_SECONDS: Final = 7.0  # a removed key is judged after 5 s
+CRASHES_SECONDS: Final = 25.0  # a path is judged 8 s after a crash
 MIN_REVISITS: Final = 20
 MIN_ANSWERS: Final = 20  # of each of the two kinds, or the run proves nothing
 
@@ -63,6 +65,29 @@
         self.assertEqual(0, record.returned_ids)
         self.assertGreaterEqual(record.revisits, MIN_REVISITS)
 
+    def test_crashes(self) -> None:
+        """A path is served again after crashes, one that crashes is bounded.
+
+        Guards against refusals that nothing ends, and against trials without
+        a bound.
+        """
+        plan = SoakPlan(
+            seed=48,
+            seconds=CRASHES_SECONDS,
+            gateways=4,
+            servers=16,
+            callers=4,
+            answers=('stated',),
+            stale_entries=0,
+            crashes=True,
+            disruptions=(CRASH_DOMAIN,),
+        )
+        record = play(plan)
+        self.assertEqual([], record.broken())
+        self.assertEqual([], record.ended)
+        self.assertGreaterEqual(record.plays['crashes_by_request'], 1)
+        self.assertGreaterEqual(record.plays['popular_judged'], MIN_ANSWERS)
+
     def test_customers(self) -> None:
         """Keys are taken away from gateways that are cut off.
 
