Send a short wait for a trial as a wait, not as a permission

Cause: the arbiter rounds its wait to milliseconds, and a wait of 0 allows a trial; one below half a millisecond was sent as 0, so a trial was not counted. Found by reading. Change: the wait is rounded up. test_short_wait_is_no_permission failed before.

--- a/wagtailfork/gateway/tests/test_trials.py
+++ b/wagtailfork/gateway/tests/test_trials.py
@@ -15,7 +15,7 @@
 from ...core.event_log import EventLog
 from ...fleet.messages import Message, decode, encode
 from ...routing.quarantine import Crash
-from ..trials import STRIKE_RESEND_DELAYS_S, Trials
+from ..trials import STRIKE_RESEND_DELAYS_S, Trials, delay_s
 from .virtual_time import run_virtual
 
 DELAY_S: Final = 0.002  # between two VMs
@@ -23,6 +23,7 @@
 CRASH_S: Final = 0.005  # from the begin of a request that crashes its server
 DETECTION_S: Final = 0.05
 DOWN_S: Final = 4.5
+SHORT_WAIT_S: Final = 0.0003
 STABLE_S: Final = 4.0  # strikes are known at all VMs by then
 ALLOWED_LATER: Final = 3  # retries later than that after the third crash
 VMS: Final = 18
@@ -326,6 +327,23 @@
         seen = await scene.play(5, popular=180, vms=[away])
         self.assertEqual(1, _served(seen))
 
+    @played
+    async def test_short_wait_is_no_permission(self, scene: Scene) -> None:
+        """A wait below half a millisecond was sent as none."""
+        vms = list(scene.vms.values())
+        for server in scene.servers[:2]:
+            crash = Crash(server.name, server.started_ms)
+            vms[0].record_crash(POPULAR, crash, trial=False)
+        await asyncio.sleep(2 * DELAY_S)
+        arbiter = vms[0]._arbiter(POPULAR)
+        asker = next(one for name, one in scene.vms.items() if name != arbiter)
+        wait_s = scene.vms[arbiter].quarantine.last_strike_s(POPULAR)
+        wait_s += delay_s(POPULAR, 0) - asyncio.get_running_loop().time()
+        await asyncio.sleep(wait_s - DELAY_S - SHORT_WAIT_S)
+        asker._ask_again_at(POPULAR, 0)
+        admission = await asker.admit(POPULAR)
+        self.assertFalse(admission.trial)
+
     @played
     async def test_strikes_that_come_again(self, scene: Scene) -> None:
         """Messages that are repeated brought the refusal back."""
--- a/wagtailfork/gateway/trials.py
+++ b/wagtailfork/gateway/trials.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Final
@@ -235,7 +236,9 @@
             self.quarantine.strike(fingerprint, one.server, now, one.started_ms)
         if self.quarantine.is_refused(fingerprint, now):
             wait_s = self.schedule.decide(fingerprint, now)
-            decision = TrialDecision(message.fingerprint, round(wait_s * _MS))
+            # Any wait must not be taken for a permission.
+            wait_ms = math.ceil(wait_s * _MS)
+            decision = TrialDecision(message.fingerprint, wait_ms)
             self.send(decision, [message.sender])
 
     @receive.register
