Take back trials that end without an outcome

Change: the server of such a trial is checked as after a lost answer; if it is there, the trial is taken back, and each such trial doubles the delay before the next (1 to 2 s at first).

test_trial_of_a_caller_that_leaves failed before (503 for the next request).

--- a/wagtailfork/fleet/trial_messages.py
+++ b/wagtailfork/fleet/trial_messages.py
@@ -49,9 +49,10 @@
 
 @attrs.frozen
 class TrialReturn:
-    """Report that a trial was not sent, or told nothing about the request."""
+    """Report that a trial told nothing about the request."""
 
     fingerprint: int
+    ran: bool  # a server may have run it, and survived
 
 
 @attrs.frozen
@@ -94,7 +95,7 @@
 
 @render_trial.register
 def _(message: TrialReturn) -> list[Any]:
-    return [_RETURN_KIND, message.fingerprint]
+    return [_RETURN_KIND, message.fingerprint, message.ran]
 
 
 @render_trial.register
@@ -137,6 +138,11 @@
     return TrialDecision(as_number(fingerprint), as_count(wait_ms))
 
 
+def _parse_return(parts: list[Any]) -> TrialReturn:
+    fingerprint, ran = parts
+    return TrialReturn(as_number(fingerprint), bool(ran))
+
+
 def _parse_absolution(parts: list[Any]) -> Absolution:
     fingerprint, *crashes = parts
     return Absolution(as_number(fingerprint), _parse_crashes(crashes))
@@ -146,6 +152,6 @@
     _STRIKE_KIND: _parse_strike,
     _REQUEST_KIND: _parse_request,
     _DECISION_KIND: _parse_decision,
-    _RETURN_KIND: lambda parts: TrialReturn(as_number(parts[0])),
+    _RETURN_KIND: _parse_return,
     _ABSOLUTION_KIND: _parse_absolution,
 }
--- a/wagtailfork/gateway/crash_detector.py
+++ b/wagtailfork/gateway/crash_detector.py
@@ -49,7 +49,7 @@
         conn.close()
         if trial:
             # The server survived it.
-            self.trials.give_back(fingerprint)
+            self.trials.give_back(fingerprint, ran=True)
 
     def _strike(
         self, fingerprint: str, entry: BackendServer, *, trial: bool
--- a/wagtailfork/gateway/forwarder.py
+++ b/wagtailfork/gateway/forwarder.py
@@ -183,9 +183,9 @@
         call.trial = admission.trial
         try:
             result = await self._send_with_retries(call)
-        finally:
-            if call.trial and not call.sends:
-                self.trials.give_back(call.fingerprint)
+        except asyncio.CancelledError:
+            self._abandon_trial(call)
+            raise
         self._record_evidence(call, result)
         await self.responder.finish(call, result)
 
@@ -194,9 +194,17 @@
         if result.response is not None and not result.rejected:
             if self.quarantine.is_suspect(call.fingerprint):
                 self.trials.record_answer(call.fingerprint)
-        elif call.trial and call.sends and not call.may_have_run:
-            # The server stated that it did not run it.
-            self.trials.give_back(call.fingerprint)
+        elif call.trial and not call.may_have_run:
+            self.trials.give_back(call.fingerprint, ran=False)
+
+    def _abandon_trial(self, call: Call) -> None:
+        """Check the server of a trial whose caller has left."""
+        if not call.trial:
+            return
+        if call.sends and call.candidate is not None:
+            self.sender.suspect_crash(call, call.candidate.name)
+        else:
+            self.trials.give_back(call.fingerprint, ran=False)
 
     async def _send_with_retries(self, call: Call) -> SendResult:
         fallback: SendResult | None = None
--- a/wagtailfork/gateway/tests/test_node.py
+++ b/wagtailfork/gateway/tests/test_node.py
@@ -16,6 +16,7 @@
     lose_response,
     never_respond,
     respond_twice,
+    serve_request,
     shed_request,
     truncate_response,
 )
@@ -288,6 +289,27 @@
         self.assertIsNotNone(response.find(b'retry-after'))
         self.assertEqual([], rig.runs())
 
+    def test_trial_of_a_caller_that_leaves(self) -> None:
+        """A trial that its deadline ended was taken for one that failed."""
+        with mock.patch.object(trials, 'TRIAL_DELAYS_S', (0.05, 60.0)):
+            run_scenario(self._abandon_trial)
+
+    async def _abandon_trial(self, rig: Rig) -> None:
+        await rig.start()
+        node = rig.nodes[0]
+        fingerprint = f'{zlib.crc32(f"GET {HOST} /look/1".encode()):08x}'
+        for name in ('gone', 'gone-too'):
+            node.trials.quarantine.strike(fingerprint, name, now_s())
+        _script_all(rig, never_respond)
+        await asyncio.sleep(0.2)
+        response = await rig.call('/look/1', 'left', deadline_ms=300)
+        self.assertEqual(504, response.status)
+        self.assertEqual(['left'], rig.runs())
+        _script_all(rig, serve_request)
+        await asyncio.sleep(0.6)
+        response = await rig.call('/look/1', 'next')
+        self.assertEqual(200, response.status)
+
     def test_new_vm_receives_strikes(self) -> None:
         """A VM that starts later refuses the same requests."""
         run_scenario(self._crash_then_start)
--- a/wagtailfork/gateway/tests/test_trials.py
+++ b/wagtailfork/gateway/tests/test_trials.py
@@ -24,6 +24,7 @@
 DETECTION_S: Final = 0.05
 DOWN_S: Final = 4.5
 SHORT_WAIT_S: Final = 0.0003
+PAUSE_S: Final = 0.05
 STABLE_S: Final = 4.0  # strikes are known at all VMs by then
 ALLOWED_LATER: Final = 3  # retries later than that after the third crash
 VMS: Final = 18
@@ -130,7 +131,7 @@
         ]
         if not free:
             if admission.trial:
-                vm.give_back(fingerprint)
+                vm.give_back(fingerprint, ran=False)
             return 'no_server'
         server = self.rng.choice(free)
         crash = Crash(server.name, server.started_ms)
@@ -327,6 +328,26 @@
         seen = await scene.play(5, popular=180, vms=[away])
         self.assertEqual(1, _served(seen))
 
+    @played
+    async def test_trials_without_an_outcome(self, scene: Scene) -> None:
+        """One whose caller left shut the path for a minute or two."""
+        first = next(iter(scene.vms.values()))
+        for server in scene.servers[:2]:
+            crash = Crash(server.name, server.started_ms)
+            first.record_crash(POPULAR, crash, trial=False)
+        loop = asyncio.get_running_loop()
+        allowed_s: list[float] = []
+        while len(allowed_s) < 3:
+            await asyncio.sleep(PAUSE_S)
+            admission = await first.admit(POPULAR)
+            if admission.trial:
+                allowed_s.append(loop.time())
+                first.give_back(POPULAR, ran=True)
+        self.assertTrue(allowed_s[1] - allowed_s[0] < 5)
+        self.assertTrue(allowed_s[2] - allowed_s[1] < 10)
+        await scene.play(17, popular=180)
+        self.assertEqual(1, _served(await scene.play(2, popular=180)))
+
     @played
     async def test_short_wait_is_no_permission(self, scene: Scene) -> None:
         """A wait below half a millisecond was sent as none."""
--- a/wagtailfork/gateway/trials.py
+++ b/wagtailfork/gateway/trials.py
@@ -32,6 +32,7 @@
 # may reach three servers after its third crash.
 TRIAL_DELAYS_S: Final = (1.0, 60.0, 3600.0)
 QUARANTINE_S: Final = 7200.0  # longer than any delay
+MAX_DOUBLINGS: Final = 6  # of a delay, for trials without an outcome
 PENDING_S: Final = 1.0  # in which the outcome of a trial is expected
 ASK_TIMEOUT_S: Final = 0.25  # four round trips between regions
 STRIKE_RESEND_DELAYS_S: Final = (0.3, 1.0)
@@ -55,6 +56,7 @@
 @attrs.define
 class _Granted:
     count: int = 0
+    unclear: int = 0  # trials that a server ran without an outcome
     last_s: float = 0
 
 
@@ -92,7 +94,9 @@
         granted = self._granted.setdefault(fingerprint, _Granted())
         trials = max(granted.count, self.quarantine.failed_trials(fingerprint))
         last_s = max(granted.last_s, self.quarantine.last_strike_s(fingerprint))
-        wait_s = last_s + delay_s(fingerprint, trials) - now
+        least_s = delay_s(fingerprint, trials)
+        least_s *= 2 ** min(granted.unclear, MAX_DOUBLINGS)
+        wait_s = last_s + least_s - now
         if wait_s > 0:
             pending_s = granted.last_s + PENDING_S - now
             return pending_s if pending_s > 0 else wait_s
@@ -101,11 +105,12 @@
         self._bound()
         return 0
 
-    def give_back(self, fingerprint: str) -> None:
-        """Take back a trial that told nothing."""
+    def give_back(self, fingerprint: str, *, ran: bool) -> None:
+        """Take back a trial that told nothing; wait longer if it ran."""
         granted = self._granted.get(fingerprint)
         if granted is not None:
             granted.count = max(0, granted.count - 1)
+            granted.unclear += ran
 
     def forget(self, fingerprint: str) -> None:
         """Forget the trials of a request that was answered."""
@@ -199,14 +204,14 @@
         crashes = self.quarantine.crashes(fingerprint)
         self._absolve(fingerprint, crashes)
 
-    def give_back(self, fingerprint: str) -> None:
+    def give_back(self, fingerprint: str, *, ran: bool) -> None:
         """Report that a trial told nothing about the request."""
         self._ask_again_at(fingerprint, now_s() + TRIAL_DELAYS_S[0])
         arbiter = self._arbiter(fingerprint)
         if arbiter == self.membership.me.address:
-            self.schedule.give_back(fingerprint)
+            self.schedule.give_back(fingerprint, ran=ran)
         else:
-            self.send(TrialReturn(int(fingerprint, _HEX)), [arbiter])
+            self.send(TrialReturn(int(fingerprint, _HEX), ran), [arbiter])
 
     @singledispatchmethod
     def receive(self, message: TrialMessage) -> None:
@@ -247,7 +252,8 @@
 
     @receive.register
     def _(self, message: TrialReturn) -> None:
-        self.schedule.give_back(_text(message.fingerprint))
+        fingerprint = _text(message.fingerprint)
+        self.schedule.give_back(fingerprint, ran=message.ran)
 
     @receive.register
     def _(self, message: Absolution) -> None:
