Log what a response that blames its caller rests on

A caller got 404 and the log told the code, nothing of the evidence. Each own 3xx or 4xx now has a line (denied) with the request's id, host and target, the configuration's version, era and count of routes, the time since it was confirmed as the newest, and the newest version that another live VM has; a counter by status and reason; and requests that cannot be read name the error or the limit. Transfers tell their bytes and milliseconds when they end, also when they are given up, so a silent peer or store can be told from a slow one.

--- a/wagtailfork/fleet/snapshots.py
+++ b/wagtailfork/fleet/snapshots.py
@@ -11,10 +11,12 @@
 import attrs
 import cbor2
 
+from ..core.clock import now_s
 from ..core.errors import WagtailforkError
 from ..core.logs import log_warning
 from ..core.results import ResultCode
 from ..http1.backend import connect
+from ..http1.body import Body
 from ..http1.headers import render_head
 from ..http1.request import CallerRequest
 from ..http1.responses import RequestNotSent, ResponseError
@@ -31,6 +33,7 @@
 _OK: Final = 200
 FETCH_TIMEOUT_S: Final = 0.6  # five round trips between regions plus transfer
 MAX_SNAPSHOT_BYTES: Final = 33554432
+_MS_PER_S: Final = 1000
 _MAX_ERROR_CHARS: Final = 99  # of a decoder error
 
 Row = TypeVar('Row')
@@ -164,8 +167,23 @@
     return Edition(version, config_era), Position(era, offset)
 
 
+@attrs.define
+class Transfer:
+    """Measure a fetch, also one that fails."""
+
+    began_s: float = attrs.field(factory=now_s)
+    body: Body | None = None
+
+    def describe(self) -> dict[str, Any]:
+        """Return the fields of a log line."""
+        return {
+            'ms': (now_s() - self.began_s) * _MS_PER_S,
+            'received_bytes': self.body.size if self.body else 0,
+        }
+
+
 async def fetch_snapshot(
-    address: str, edition: Edition, position: Position
+    address: str, edition: Edition, position: Position, transfer: Transfer
 ) -> Snapshot:
     """Fetch what is newer than an edition and a position.
 
@@ -179,7 +197,7 @@
     )
     try:
         async with asyncio.timeout(FETCH_TIMEOUT_S):
-            raw = await _fetch(address, head)
+            raw = await _fetch(address, head, transfer)
     except (TimeoutError, RequestNotSent, ResponseError) as exc:
         raise WagtailforkError(
             ResultCode.service_unreachable,
@@ -188,11 +206,12 @@
     return parse_snapshot(raw)
 
 
-async def _fetch(address: str, head: bytes) -> bytes:
+async def _fetch(address: str, head: bytes, transfer: Transfer) -> bytes:
     host, _, port = address.rpartition(':')
     conn = await connect(host, int(port), FETCH_TIMEOUT_S)
     try:
         response = await conn.exchange(head, request_id=None)
+        transfer.body = response.body
         response.body.replay_limit_bytes = MAX_SNAPSHOT_BYTES
         await response.body.wait_buffered()
     finally:
--- a/wagtailfork/gateway/meters.py
+++ b/wagtailfork/gateway/meters.py
@@ -54,6 +54,8 @@
     # by service
     latency: dict[str, Histogram] = attrs.field(factory=dict)
     refusals: Counter[str] = attrs.field(factory=Counter)  # by reason
+    # Own responses that blame the caller, by status and reason.
+    denials: Counter[tuple[int, str]] = attrs.field(factory=Counter)
     key_refusals: Counter[str] = attrs.field(factory=Counter)  # by reason
     stale_refusals: int = 0  # as the configuration was confirmed too long ago
     quota_refused: Counter[str] = attrs.field(factory=Counter)  # by customer
--- a/wagtailfork/gateway/metrics.py
+++ b/wagtailfork/gateway/metrics.py
@@ -16,6 +16,7 @@
 
 _REQUESTS: Final = 'Requests of callers by how they ended'
 _ANSWERS: Final = 'Answers of servers by status and what they state'
+_DENIALS: Final = 'Own responses with a status of 3xx or 4xx'
 _LATENCY: Final = 'Seconds from a request to its end'
 
 
@@ -32,6 +33,7 @@
     registry = Registry()
     _add_counts(node, registry)
     _add_answers(node.meters, registry)
+    _add_denials(node.meters, registry)
     _add_latency(node.meters, registry)
     for name, doc, found in _gauges(node):
         Gauge(name, doc, registry=registry).set({}, found)
@@ -58,6 +60,12 @@
         family.set(attrs.asdict(kind, value_serializer=_label), count)
 
 
+def _add_denials(meters: Meters, registry: Registry) -> None:
+    family = Counter('wagtailfork_denials', _DENIALS, registry=registry)
+    for (status, why), count in meters.denials.items():
+        family.set({'status': str(status), 'why': why}, count)
+
+
 def _label(_owner: Any, _attribute: Any, found: Any) -> str:
     return str(found).lower()
 
--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -17,7 +17,6 @@
 from ..fleet.member import Member
 from ..fleet.members import Membership
 from ..fleet.messages import Message
-from ..fleet.position import Edition
 from ..http1.pool import ConnectionPool
 from ..http1.request import Limits
 from ..http1.server import CallerServer
@@ -33,9 +32,9 @@
 from .connection_bounds import ConnectionBounds
 from .crash_detector import CrashDetector
 from .discovery import Discovery
+from .evidence import make_evidence
 from .fleet_link import FleetLink
 from .forwarder import Forwarder
-from .freshness import ConfigurationAge
 from .key_check import KeyGate
 from .limit_recorder import LimitRecorder
 from .limit_shares import LimitShares
@@ -120,11 +119,8 @@
             adapter.decode_server,
             self._on_view_changed,
         )
-        limit_ms = cfg.revocation_limit_ms
-        self.age = ConfigurationAge(
-            limit_s=limit_ms / 1000 if limit_ms else None,
-            edition=self._edition,
-        )
+        self.evidence = make_evidence(cfg, self.view, self.membership)
+        self.age = self.evidence.age
         self.gate = KeyGate(self.view, self.age)
         self.quotas = Quotas(
             membership=self.membership,
@@ -206,6 +202,7 @@
             self.forwarder.handle,
             self._limits,
             OverlapPolicy(self.view).may_overlap,
+            self.forwarder.responder.reject,
         )
         peers = PeerHandler(self.view, self.replicator)
         self._side_servers: list[tuple[CallerServer, str]] = [
@@ -287,9 +284,8 @@
             responder=Responder(
                 dialect=self.adapter.dialect,
                 log=self.log,
-                version=lambda: self.view.version,
                 meters=self.meters,
-                age=self.age,
+                evidence=self.evidence,
             ),
             trials=self.trials,
         )
@@ -416,9 +412,6 @@
     def _is_stale(self) -> bool:
         return not self.is_fresh()
 
-    def _edition(self) -> Edition:
-        return self.view.edition
-
     def _is_active(self) -> bool:
         return self.gate.active
 
--- a/wagtailfork/gateway/responder.py
+++ b/wagtailfork/gateway/responder.py
@@ -1,6 +1,7 @@
 """Final responses to callers: forwarded, failed or refused."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
+from http import HTTPStatus
 from typing import Any, Final
 
 import attrs
@@ -13,7 +14,7 @@
 from ..http1.responses import BackendResponse
 from .call import Call, SendResult
 from .dialect import Dialect, RequestMetadata
-from .freshness import ConfigurationAge
+from .evidence import ConfigurationEvidence
 from .meters import Meters
 from .token_spender import QUOTA
 
@@ -21,6 +22,10 @@
 STALE_RETRY_AFTER_S: Final = 0.5
 SHED_RETRY_AFTER_S: Final = 0.1  # about the time until a slot is freed
 _MS_PER_S: Final = 1000
+_MIN_DENIAL: Final = 300
+_MAX_DENIAL: Final = 499
+# They say that a request has not run and may come again.
+_NOT_NOW: Final = frozenset((408, 421, 429))
 # By the reason of a send that was refused for the key of its request.
 _KEY_CODES: Final = {
     code.name: code
@@ -39,9 +44,8 @@
 
     dialect: Dialect
     log: EventLog
-    version: Callable[[], int]
     meters: Meters
-    age: ConfigurationAge
+    evidence: ConfigurationEvidence
 
     async def finish(self, call: Call, result: SendResult) -> None:
         """Respond to the caller with the result of the last attempt."""
@@ -201,7 +205,7 @@
         pairs: dict[str, Any] = {}
         if stale:
             self.meters.stale_refusals += 1
-            pairs['age_ms'] = self.age.age_s(req.arrived_s) * _MS_PER_S
+            pairs['age_ms'] = self.evidence.age.age_s(req.arrived_s) * _MS_PER_S
         else:
             self.meters.key_refusals[code.name] += 1
         self.log.emit(
@@ -210,7 +214,7 @@
             id=metadata.request_id,
             code=int(code),
             why=code.name,
-            config=self.version(),
+            config=self.evidence.view.version,
             **pairs,
         )
         retry_after_s = STALE_RETRY_AFTER_S if stale else None
@@ -238,9 +242,42 @@
             code=int(code),
             why=reason or code.name,
             refused_by=','.join(refused_by) or 'none',
-            config=self.version(),
+            config=self.evidence.view.version,
             retry_after_s=retry_after_s,
             ms=(now_s() - req.arrived_s) * 1000,
         )
+        status = http_status(code)
+        self._record_denial(req, metadata, status, reason or code.name)
         headers = self.dialect.refusal_headers(int(code), retry_after_s)
-        req.respond(http_status(code), headers)
+        req.respond(status, headers)
+
+    async def reject(self, req: CallerRequest) -> None:
+        """Respond to a request that could not be read."""
+        status = req.rejected_with or HTTPStatus.BAD_REQUEST
+        metadata = self.dialect.read_request(req)
+        self._record_denial(req, metadata, status, req.rejected_why)
+        req.respond(status, [])
+
+    def _record_denial(
+        self,
+        req: CallerRequest,
+        metadata: RequestMetadata,
+        status: int,
+        why: str,
+    ) -> None:
+        """Record a response that tells a caller that its request is wrong."""
+        if not _MIN_DENIAL <= status <= _MAX_DENIAL:
+            return
+        self.meters.denials[(status, why)] += 1
+        if status in _NOT_NOW:
+            return
+        self.log.emit(
+            'denied',
+            important=True,
+            id=metadata.request_id,
+            status=status,
+            why=why,
+            host=(req.find(b'host') or b'').decode('latin-1'),
+            target=req.target.decode('latin-1'),
+            **self.evidence.describe(req.arrived_s),
+        )
--- a/wagtailfork/gateway/snapshot_fetcher.py
+++ b/wagtailfork/gateway/snapshot_fetcher.py
@@ -7,10 +7,10 @@
 import attrs
 
 from ..core.errors import WagtailforkError
-from ..core.logs import log_warning
+from ..core.logs import log_event, log_warning
 from ..fleet.member import MemberRow
 from ..fleet.position import START
-from ..fleet.snapshots import fetch_snapshot
+from ..fleet.snapshots import Transfer, fetch_snapshot
 from .view import View
 
 _logger = logging.getLogger(__name__)
@@ -48,14 +48,27 @@
         )
 
     async def _fetch(self, address: str) -> None:
+        transfer = Transfer()
         try:
             snapshot = await fetch_snapshot(
-                address,
-                self.view.edition,
-                self.view.position,
+                address, self.view.edition, self.view.position, transfer
             )
             self.view.merge(snapshot, address)
         except WagtailforkError as exc:
-            log_warning(_logger, 'snapshot_failed', peer=address, error=exc)
+            log_warning(
+                _logger,
+                'snapshot_failed',
+                peer=address,
+                error=exc,
+                **transfer.describe(),
+            )
+        else:
+            log_event(
+                _logger,
+                'snapshot_merged',
+                peer=address,
+                configuration=bool(snapshot.packed_configuration),
+                **transfer.describe(),
+            )
         finally:
             self.fetching = False
--- a/wagtailfork/http1/caller.py
+++ b/wagtailfork/http1/caller.py
@@ -26,6 +26,8 @@
 _MAX_PIPELINED: Final = 64
 _MAX_WITH_BODIES: Final = 8  # if their bodies are large together
 _LARGE_BYTES: Final = 524288
+_LONG_HEAD: Final = 'head too long'
+_LONG_BODY: Final = 'body too long'
 _logger = logging.getLogger(__name__)
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _STATUS_LINES: Final = {
@@ -40,6 +42,7 @@
     draining: bool
     connections: 'set[CallerConnection]'
     handler: Callable[[CallerRequest], Awaitable[None]]
+    reject: Callable[[CallerRequest], Awaitable[None]]
     limits: Callable[[], Limits]
     may_overlap: Callable[[CallerRequest], bool]
     read_ahead: ReadAhead
@@ -140,7 +143,7 @@
         # A trailer must not pass for a header.
         self._trailer_bytes += len(name) + len(value) + 4
         if self._trailer_bytes > self._header_limit():
-            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, _LONG_HEAD)
 
     def on_headers_complete(self) -> None:
         """Queue the request whose head is complete."""
@@ -152,11 +155,11 @@
         req.keep_alive = self._parser.should_keep_alive()
         if self._parser.should_upgrade():
             # The parser takes what follows for another protocol.
-            self._reject(HTTPStatus.BAD_REQUEST)
+            self._reject(HTTPStatus.BAD_REQUEST, 'upgrade')
             return
         length = _body_length(req)
         if (length or 0) > self._server.limits().max_body_bytes:
-            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, _LONG_BODY)
             return
         self._framing.start_body(length)
         req.overlaps = self._server.may_overlap(req)
@@ -174,7 +177,7 @@
             return
         req.body.feed(piece)
         if req.body.size > self._server.limits().max_body_bytes:
-            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, _LONG_BODY)
 
     def on_message_complete(self) -> None:
         """Complete the request body."""
@@ -211,7 +214,7 @@
         if self._incoming is None:
             self.close_if_idle()
             return
-        self._reject(HTTPStatus.REQUEST_TIMEOUT)
+        self._reject(HTTPStatus.REQUEST_TIMEOUT, 'incomplete')
 
     # Interface for requests.
 
@@ -303,14 +306,18 @@
         size = self._framing.take(piece, self._header_limit())
         try:
             self._parser.feed_data(piece[:size])
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._reject(HTTPStatus.BAD_REQUEST)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
+            # The context of an error in a callback is the callback's own.
+            cause = exc.__context__ or exc
+            self._reject(
+                HTTPStatus.BAD_REQUEST, type(cause).__name__, repr(cause)
+            )
         if size < len(piece):
-            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, _LONG_HEAD)
         elif self._framing.excessive:
-            self._reject(HTTPStatus.BAD_REQUEST)
+            self._reject(HTTPStatus.BAD_REQUEST, 'framing too long')
 
-    def _reject(self, status: HTTPStatus) -> None:
+    def _reject(self, status: HTTPStatus, why: str, error: str = '') -> None:
         """Respond to an invalid request in its turn and close.
 
         One whose head was accepted is left to its handler, which finds the
@@ -322,6 +329,8 @@
             _logger,
             'request_rejected',
             status=status.value,
+            why=why,
+            error=error or 'none',
             open=len(self._order),
             waiting=len(self._queue),
             head_bytes=self._framing.head_bytes,
@@ -334,6 +343,7 @@
         self._pause_for('body', pause=False)
         if not (self._order.is_open(req) or req in self._queue):
             req.rejected_with = status
+            req.rejected_why = why
             self._queue.append(req)
             self._start_requests()
 
@@ -406,7 +416,7 @@
             await self._server.handler(req)
             return
         req.keep_alive = False
-        req.respond(req.rejected_with, [])
+        await self._server.reject(req)
 
     def _finish(self, req: CallerRequest) -> None:
         self._order.finish(req)
--- a/wagtailfork/http1/request.py
+++ b/wagtailfork/http1/request.py
@@ -63,6 +63,7 @@
     overlaps: bool = False  # may run beside others of its connection
     response_started: bool = False
     rejected_with: int | None = None  # the status for an invalid request
+    rejected_why: str = ''
 
     def find(self, name: bytes) -> bytes | None:
         """Return the first value of a header by its lower-case name."""
--- a/wagtailfork/http1/server.py
+++ b/wagtailfork/http1/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 
 from .caller import CallerConnection
 from .read_ahead import ReadAhead
@@ -10,6 +11,10 @@
 Handler = Callable[[CallerRequest], Awaitable[None]]
 
 
+async def _respond_rejected(req: CallerRequest) -> None:
+    req.respond(req.rejected_with or HTTPStatus.BAD_REQUEST, [])
+
+
 def _overlap_none(_req: CallerRequest) -> bool:
     return False
 
@@ -22,12 +27,15 @@
         handler: Handler,
         limits: Callable[[], Limits],
         may_overlap: Callable[[CallerRequest], bool] = _overlap_none,
+        reject: Handler = _respond_rejected,
     ) -> None:
         """Initialize a server that does not listen yet.
 
         Pipelined requests for which ``may_overlap`` holds run side by side.
+        Those that cannot be read are responded to by ``reject``.
         """
         self.handler = handler
+        self.reject = reject
         self.may_overlap = may_overlap
         self.limits = limits
         self.draining = False
--- a/wagtailfork/platform/store.py
+++ b/wagtailfork/platform/store.py
@@ -242,7 +242,7 @@
             self.fastest_s = min(self.fastest_s, now_s() - began_s)
             # Listings may exceed the default buffer limit of a body.
             response.body.replay_limit_bytes = _MAX_RESPONSE_BYTES
-            await response.body.wait_buffered()
+            await self._receive(response.body, began_s)
         except BaseException:
             conn.close()
             raise
@@ -254,6 +254,18 @@
             response.status, response.body.payload(), self._update_era(response)
         )
 
+    async def _receive(self, body: Body, began_s: float) -> None:
+        try:
+            await body.wait_buffered()
+        except asyncio.CancelledError:
+            log_event(
+                _logger,
+                'store_answer_left',
+                received_bytes=body.size,
+                ms=(now_s() - began_s) * _MS_PER_S,
+            )
+            raise
+
     def _update_era(self, response: BackendResponse) -> int:
         """Return the era of a response; raise ``ResponseError`` if outdated."""
         text = response.find(_ERA)
