--- a/wagtailfork/tests/relay.py
+++ b/wagtailfork/tests/relay.py
@@ -1,9 +1,13 @@
 """A TCP relay that can close, refuse or silence connections."""
 
 import asyncio
+from typing import Final
 
 import attrs
 
+_CHUNK_BYTES: Final = 65536
+_LINK_CHUNK_BYTES: Final = 4096  # so that a slow link is shared evenly
+
 
 @attrs.define(eq=False)
 class _Connection:
@@ -19,9 +23,13 @@
     port: int = 0
     refusing: bool = False
     unresponsive: bool = False
+    # Shared by all connections in the order in which bytes are sent; what a
+    # receiver gives up is sent all the same. No limit if 0.
+    bytes_per_s: float = 0
     bytes_relayed: int = 0  # in both directions
     _connections: list[_Connection] = attrs.field(factory=list)
     _server: asyncio.Server | None = None
+    _link: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
     async def start(self) -> None:
         """Listen on ``port``; 0 selects a free one."""
@@ -57,6 +65,10 @@
     async def close(self) -> None:
         """Stop listening and abort all connections."""
         self.cut()
+        self.bytes_per_s = 0
+        async with self._link:
+            # Those that wait for the link end now.
+            await asyncio.sleep(0)
         if self._server is not None:
             self._server.close()
 
@@ -90,13 +102,23 @@
         connection: _Connection,
     ) -> None:
         try:
-            while chunk := await reader.read(1 << 16):
+            while chunk := await reader.read(self._chunk_bytes()):
                 if connection.silent:
                     continue
                 self.bytes_relayed += len(chunk)
+                await self._occupy_link(len(chunk))
                 writer.write(chunk)
                 await writer.drain()
         except OSError:
             writer.transport.abort()
         if not connection.silent:
             writer.close()
+
+    def _chunk_bytes(self) -> int:
+        return _LINK_CHUNK_BYTES if self.bytes_per_s else _CHUNK_BYTES
+
+    async def _occupy_link(self, size: int) -> None:
+        """Wait until a chunk has passed the link."""
+        async with self._link:
+            if self.bytes_per_s:
+                await asyncio.sleep(size / self.bytes_per_s)
