Call a request wrong only by a configuration that is known to be the newest

Callers got 404 for a route that other VMs had served for four seconds, and did not come again.

The evidence is the confirmed age that keys had already; where a request depends on it and it is too old, the VM asks others for up to 0.3 s, and judges again by what is in force then. While the store is away for long, unknown routes get 503 as well: a VM can't tell then.

VMs in touch still answer 404 within 0.3 s.

--- a/wagtailfork/core/settings.py
+++ b/wagtailfork/core/settings.py
@@ -108,6 +108,11 @@
     revocation_limit_ms: float | None = attrs.field(
         default=None, validator=attrs.validators.optional(_POSITIVE)
     )
+    # Within this time after its acknowledgement a configuration must be in
+    # force; a VM that may lack one that old does not call a request wrong.
+    configuration_limit_ms: float = attrs.field(
+        default=2500, validator=_POSITIVE
+    )
     # Whether coordinators refer requests to those of other failure domains.
     spill: bool = False
     # Whether the whole fleet starts for the first time, before any caller.
--- a/wagtailfork/explain/causes.py
+++ b/wagtailfork/explain/causes.py
@@ -22,7 +22,7 @@
     'customer_key_unknown': 'no customer of the configuration has its key',
     'customer_key_repeated': 'it had more than one key',
     'no_common_region': 'no region may serve both its route and customer',
-    'configuration_stale': 'this VM had not heard of revocations in time',
+    'configuration_stale': 'this VM could not rule out a newer configuration',
     'quarantined': 'requests like it have crashed two servers',
     'deadline_passed': 'its deadline passed before a server was free',
     'server_barred': 'its server stopped being allowed before it was sent',
--- a/wagtailfork/gateway/age_queries.py
+++ b/wagtailfork/gateway/age_queries.py
@@ -16,6 +16,7 @@
 from .freshness import ConfigurationAge
 
 QUERY_PERIOD_S: Final = 0.5
+MIN_PERIOD_S: Final = 0.05  # however many requests depend on the age
 START_PERIOD_S: Final = 0.1  # until the first confirmation
 # A reader's age reaches the wait of a poll, 2 s. Those of other domains poll at
 # other times, so asking them as well keeps ages below 1.6 s; a VM that is cut
@@ -34,6 +35,7 @@
     age: ConfigurationAge
     send: Send
     is_active: Callable[[], bool]  # whether the age matters
+    _asked_at_s: float = -math.inf
 
     async def run(self) -> None:
         """Ask without end."""
@@ -43,8 +45,15 @@
                 self.step(now_s())
             await asyncio.sleep(QUERY_PERIOD_S if confirmed else START_PERIOD_S)
 
+    def ask(self) -> None:
+        """Ask at once, for a request that depends on the age."""
+        now = now_s()
+        if now - self._asked_at_s >= MIN_PERIOD_S:
+            self.step(now)
+
     def step(self, now: float) -> None:
         """Ask the VMs that are due."""
+        self._asked_at_s = now
         late = self.age.age_s(now) > FAR_QUERY_AGE_S
         for member in self._choose(now, late=late):
             number = self.age.start_request(now)
--- a/wagtailfork/gateway/evidence.py
+++ b/wagtailfork/gateway/evidence.py
@@ -1,5 +1,6 @@
-"""What a VM knows of the configuration by which it judges a request."""
+"""What a VM has to know before it tells a caller that its request is wrong."""
 
+from collections.abc import Callable
 from typing import Any, Final
 
 import attrs
@@ -8,10 +9,21 @@
 from ..core.settings import GatewaySettings
 from ..fleet.members import Membership
 from ..fleet.position import Edition
-from .freshness import ConfigurationAge
+from .freshness import MARGIN_S, ConfigurationAge
 from .view import View
 
 _MS_PER_S: Final = 1000
+# Four round trips between regions, so that a lost datagram can be repeated.
+CONFIRM_LIMIT_S: Final = 0.3
+_ASK_PERIOD_S: Final = 0.1
+# Without a confirmation, requests that come this much later don't wait again.
+_RETRY_PERIOD_S: Final = 1.0
+# For which VMs are asked after a request that needed a confirmation.
+_ACTIVE_S: Final = 5.0
+
+
+def _ask_nobody() -> None:
+    """Do nothing, for a VM without others."""
 
 
 def make_evidence(
@@ -23,22 +35,63 @@
         limit_s=limit_ms / _MS_PER_S if limit_ms else None,
         edition=lambda: view.edition,
     )
-    return ConfigurationEvidence(view=view, age=age, membership=membership)
+    return ConfigurationEvidence(
+        view=view,
+        age=age,
+        membership=membership,
+        limit_s=cfg.configuration_limit_ms / _MS_PER_S,
+    )
 
 
 @attrs.define(eq=False, kw_only=True)
 class ConfigurationEvidence:
-    """Tell how well the configuration in force is known to be the newest."""
+    """Tell how well the configuration in force is known to be the newest.
+
+    A request may be called wrong only if each configuration that is older than
+    ``limit_s`` when it arrives is known here. Other VMs are asked when a
+    request depends on it.
+    """
 
     view: View
     age: ConfigurationAge
     membership: Membership
+    limit_s: float
+    ask: Callable[[], None] = _ask_nobody
+    _wanted_until_s: float = 0
+    _unconfirmed_at_s: float = -_RETRY_PERIOD_S
+
+    @property
+    def wanted(self) -> bool:
+        """Return whether a request depended on it lately."""
+        return now_s() < self._wanted_until_s
 
     def newest_heard(self) -> Edition:
         """Return the newest edition that this VM or another live one has."""
         heard = [one.edition for one in self.membership.alive(now_s())]
         return max(heard, default=self.view.edition)
 
+    def allows_denial(self, at_s: float) -> bool:
+        """Return whether a request that arrived then may be called wrong."""
+        if self.age.age_s(at_s) >= self.limit_s - MARGIN_S:
+            return False
+        return self.newest_heard() <= self.view.edition
+
+    async def confirm(self, at_s: float) -> bool:
+        """Wait briefly until a denial is allowed; return whether it is."""
+        if self.allows_denial(at_s):
+            return True
+        began_s = now_s()
+        self._wanted_until_s = began_s + _ACTIVE_S
+        if began_s - self._unconfirmed_at_s < _RETRY_PERIOD_S:
+            return False
+        while now_s() - began_s < CONFIRM_LIMIT_S:
+            self.ask()
+            await self.age.wait_confirmed(_ASK_PERIOD_S)
+            if self.allows_denial(at_s):
+                return True
+        self._unconfirmed_at_s = now_s()
+        return False
+
     def describe(self, at_s: float) -> dict[str, Any]:
         """Return the fields of a log line on a request of this time."""
         cfg = self.view.configuration
--- a/wagtailfork/gateway/forwarder.py
+++ b/wagtailfork/gateway/forwarder.py
@@ -23,6 +23,7 @@
 from .second_copy import HedgePolicy
 from .sender import Sender
 from .trials import FREE, Trials
+from .verdict import Verdict, find_route
 from .view import View
 
 DEFAULT_DEADLINE_S: Final = 10.0  # for requests that carry no deadline
@@ -64,31 +65,58 @@
                 req, metadata, ResultCode.not_serving, NOT_READY_RETRY_AFTER_S
             )
             return
-        host = (req.find(b'host') or b'').decode('latin-1').partition(':')[0]
-        path = req.target.decode('latin-1').partition('?')[0]
-        route = cfg.table.find(host, path)
-        if route is None:
-            self.responder.refuse(
-                req, metadata, ResultCode.unknown_service, None
-            )
-            return
-        if not route.repeatable:
+        route = find_route(cfg, req)
+        if route and not route.repeatable:
             # The route may have changed since the request was started.
             await req.wait_turn()
-        identity = self.sender.gate.identify(metadata, route, req.arrived_s)
-        if identity.refusal is not None:
-            self.responder.refuse_key(req, metadata, identity.refusal)
+        verdict = await self._judge_surely(req, metadata)
+        route = verdict.route
+        if route is None or verdict.refusal is not None:
+            self._refuse(req, metadata, verdict)
             return
-        regions = shared_regions(route, identity.customer)
+        regions = shared_regions(route, verdict.identity.customer)
         if regions is None:
             self.responder.refuse(
                 req, metadata, ResultCode.no_common_region, None
             )
             return
-        call = self._admit(req, metadata, route, identity)
+        call = self._admit(req, metadata, route, verdict.identity)
         call.queued.regions = regions
         await self._serve_admitted(call)
 
+    async def _judge_surely(
+        self, req: CallerRequest, metadata: RequestMetadata
+    ) -> Verdict:
+        """Judge a request; deny it only by a configuration that is fresh."""
+        verdict = self._judge(req, metadata)
+        if not verdict.denies:
+            return verdict
+        fresh = await self.responder.evidence.confirm(req.arrived_s)
+        # The configuration may have changed meanwhile.
+        verdict = self._judge(req, metadata)
+        if verdict.denies and not fresh:
+            return attrs.evolve(verdict, stale=True)
+        return verdict
+
+    def _judge(self, req: CallerRequest, metadata: RequestMetadata) -> Verdict:
+        cfg = self.view.configuration
+        route = find_route(cfg, req) if cfg else None
+        if route is None:
+            return Verdict(refusal=ResultCode.unknown_service)
+        identity = self.sender.gate.identify(metadata, route, req.arrived_s)
+        return Verdict(route=route, identity=identity, refusal=identity.refusal)
+
+    def _refuse(
+        self, req: CallerRequest, metadata: RequestMetadata, verdict: Verdict
+    ) -> None:
+        code = verdict.refusal or ResultCode.unknown_service
+        if verdict.stale:
+            self.responder.refuse_stale(req, metadata, code.name)
+        elif code is ResultCode.unknown_service:
+            self.responder.refuse(req, metadata, code, None)
+        else:
+            self.responder.refuse_key(req, metadata, code)
+
     async def _serve_admitted(self, call: Call) -> None:
         loop = asyncio.get_running_loop()
         stop_at = loop.time() + max(0, call.left_s() - RESPONSE_MARGIN_S)
--- a/wagtailfork/gateway/freshness.py
+++ b/wagtailfork/gateway/freshness.py
@@ -1,5 +1,7 @@
 """Until when the configuration in force is known to have been the newest."""
 
+import asyncio
+import contextlib
 import math
 import random
 from collections.abc import Callable
@@ -48,6 +50,7 @@
     limit_s: float | None  # no age is too old without one
     edition: Callable[[], Edition]  # of the configuration in force
     confirmed_s: float = -math.inf
+    _confirmed: asyncio.Event = attrs.field(factory=asyncio.Event)
     _asked: dict[int, float] = attrs.field(factory=dict)
     _last_number: int = attrs.field(
         factory=lambda: random.getrandbits(_NUMBER_BITS)  # noqa: S311
@@ -66,6 +69,14 @@
     def record_read(self, confirmed_s: float) -> None:
         """Record a read of the store of which all was applied."""
         self.confirmed_s = max(self.confirmed_s, confirmed_s)
+        self._confirmed.set()
+
+    async def wait_confirmed(self, limit_s: float) -> None:
+        """Wait for the next confirmation, or until the limit has passed."""
+        self._confirmed.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                await self._confirmed.wait()
 
     def start_request(self, now: float) -> int:
         """Return the number of a new request to another VM."""
--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -182,8 +182,9 @@
             membership=self.membership,
             age=self.age,
             send=self._send_to_vms,
-            is_active=self._is_active,
+            is_active=self._is_age_used,
         )
+        self.evidence.ask = self.age_queries.ask
         self.discovery = Discovery(
             source=self.source,
             link=self.link,
@@ -412,8 +413,8 @@
     def _is_stale(self) -> bool:
         return not self.is_fresh()
 
-    def _is_active(self) -> bool:
-        return self.gate.active
+    def _is_age_used(self) -> bool:
+        return self.gate.active or self.evidence.wanted
 
     def _reads_store(self) -> bool:
         return self.source.reads_store
--- a/wagtailfork/gateway/pipelining.py
+++ b/wagtailfork/gateway/pipelining.py
@@ -3,6 +3,7 @@
 import attrs
 
 from ..http1.request import CallerRequest
+from .verdict import find_route
 from .view import View
 
 
@@ -21,7 +22,5 @@
         cfg = self.view.configuration
         if cfg is None:
             return False
-        host = (req.find(b'host') or b'').decode('latin-1').partition(':')[0]
-        path = req.target.decode('latin-1').partition('?')[0]
-        route = cfg.table.find(host, path)
+        route = find_route(cfg, req)
         return route is not None and route.repeatable
--- a/wagtailfork/gateway/responder.py
+++ b/wagtailfork/gateway/responder.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 from http import HTTPStatus
-from typing import Any, Final
+from typing import Final
 
 import attrs
 
@@ -24,6 +24,13 @@
 _MS_PER_S: Final = 1000
 _MIN_DENIAL: Final = 300
 _MAX_DENIAL: Final = 499
+# The limits of the configuration decide them.
+_BY_LIMIT: Final = frozenset(
+    (
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    )
+)
 # They say that a request has not run and may come again.
 _NOT_NOW: Final = frozenset((408, 421, 429))
 # By the reason of a send that was refused for the key of its request.
@@ -202,23 +209,46 @@
     ) -> None:
         """Refuse a request for its key, which is not logged."""
         stale = code is ResultCode.configuration_stale
-        pairs: dict[str, Any] = {}
-        if stale:
-            self.meters.stale_refusals += 1
-            pairs['age_ms'] = self.evidence.age.age_s(req.arrived_s) * _MS_PER_S
-        else:
-            self.meters.key_refusals[code.name] += 1
+        if stale or not self.evidence.allows_denial(req.arrived_s):
+            self.refuse_stale(req, metadata, code.name, refused_by=refused_by)
+            return
+        self.meters.key_refusals[code.name] += 1
         self.log.emit(
-            'configuration_stale' if stale else 'key_refused',
+            'key_refused',
             important=True,
             id=metadata.request_id,
             code=int(code),
             why=code.name,
             config=self.evidence.view.version,
-            **pairs,
         )
-        retry_after_s = STALE_RETRY_AFTER_S if stale else None
-        self.refuse(req, metadata, code, retry_after_s, refused_by=refused_by)
+        self.refuse(req, metadata, code, None, refused_by=refused_by)
+
+    def refuse_stale(
+        self,
+        req: CallerRequest,
+        metadata: RequestMetadata,
+        verdict: str,
+        *,
+        refused_by: Sequence[str] = (),
+    ) -> None:
+        """Refuse a request that only an old configuration calls wrong."""
+        self.meters.stale_refusals += 1
+        self.log.emit(
+            'configuration_stale',
+            important=True,
+            id=metadata.request_id,
+            verdict=verdict,
+            host=(req.find(b'host') or b'').decode('latin-1'),
+            target=req.target.decode('latin-1'),
+            **self.evidence.describe(req.arrived_s),
+        )
+        self.refuse(
+            req,
+            metadata,
+            ResultCode.configuration_stale,
+            STALE_RETRY_AFTER_S,
+            refused_by=refused_by,
+        )
 
     def refuse(
         self,
@@ -255,6 +285,11 @@
         """Respond to a request that could not be read."""
         status = req.rejected_with or HTTPStatus.BAD_REQUEST
         metadata = self.dialect.read_request(req)
+        if status in _BY_LIMIT and not await self.evidence.confirm(
+            req.arrived_s
+        ):
+            self.refuse_stale(req, metadata, req.rejected_why)
+            return
         self._record_denial(req, metadata, status, req.rejected_why)
         req.respond(status, [])
 
--- a/wagtailfork/gateway/tests/test_late_configuration.py
+++ b/wagtailfork/gateway/tests/test_late_configuration.py
@@ -1,6 +1,7 @@
 """Configurations that reach a VM late, and what it may deny meanwhile."""
 
 import asyncio
+import json
 from collections.abc import Awaitable, Callable
 from typing import Any, Final
 from unittest import mock
@@ -8,16 +9,19 @@
 import testtools
 
 from ...core.clock import now_s
-from ...http1.responses import RequestNotSent
+from ...http1.responses import BackendResponse, RequestNotSent
 from ...standin.documents import make_route
 from ...tests.relay import Relay
 from ..node import GatewayNode
-from .rig import CONFIG_TOPIC, Rig, make_config, run_scenario
+from ..evidence import CONFIRM_LIMIT_S
+from .rig import CONFIG_TOPIC, HOST, Rig, make_config, run_scenario
 
 # Of the users' smallest bound for a change of the configuration.
 APPLY_LIMIT_S: Final = 2.5
 ROUTES: Final = 1400
 BYTES_PER_S: Final = 100000  # a read of the large document takes 2 s
+PAY_ROUTE: Final = make_route(pathPrefix='/pay/')
+NEW_ROUTE: Final = make_route(pathPrefix='/new/')
 LIMIT_S: Final = 20.0  # the link carries the document nine times
 
 
@@ -41,6 +45,37 @@
     store.pool = mock.Mock(acquire=failure)
 
 
+def put_tenants(rig: Rig, version: int, route: dict[str, Any]) -> None:
+    """Put a configuration in force in which requests need keys."""
+    document = json.loads(make_config(version, look=route))
+    document['tenants'] = {'t': {'apiKeys': ['k']}}
+    rig.store.put(CONFIG_TOPIC, 'config', json.dumps(document).encode())
+
+
+async def start_late(rig: Rig, backends: int = 1) -> None:
+    """Start two VMs and cut the first one off."""
+    if backends:
+        await rig.start(backends=backends, gateways=0)
+        rig.store.put(CONFIG_TOPIC, 'config', make_config(1, pay=PAY_ROUTE))
+    rig.add_gateway('vm0')
+    rig.add_gateway('vm1')
+    await rig.until(lambda: all(node.is_ready() for node in rig.nodes))
+    await rig.until(rig.all_connected)
+    cut_off(rig.nodes[0])
+    # The poll that is under way may still get an answer.
+    source: Any = rig.nodes[0].source
+    await rig.until(lambda: not source._config_status.ok)
+
+
+async def send_long_head(rig: Rig, node: int, size: int) -> BackendResponse:
+    """Send a request whose head is at least this long."""
+    head = b'GET /pay/ HTTP/1.1\r\nHost: %b\r\nRequest-Id: r\r\nX: %b\r\n\r\n'
+    return await rig.send_raw(
+        rig.nodes[node].cfg.caller_address,
+        head % (HOST.encode(), b'x' * size),
+    )
+
+
 class TestLateConfiguration(testtools.TestCase):
     """A VM that may lack the newest configuration denies nothing."""
 
@@ -49,29 +84,87 @@
         run_scenario(self._add_route)
 
     async def _add_route(self, rig: Rig) -> None:
-        await rig.start(gateways=2)
-        late, other = rig.nodes
-        cut_off(late)
-        # The poll that is under way may still get an answer.
-        source: Any = late.source
-        await rig.until(lambda: not source._config_status.ok)
-        routes = {
-            'look': make_route(pathPrefix='/look/'),
-            'new': make_route(pathPrefix='/new/'),
-        }
-        rig.store.put(CONFIG_TOPIC, 'config', make_config(2, **routes))
-        await rig.until(lambda: other.view.version == 2)
-        statuses = set()
-        until_s = now_s() + APPLY_LIMIT_S + 1
+        await start_late(rig)
+        rig.store.put(CONFIG_TOPIC, 'config', make_config(2, new=NEW_ROUTE))
+        await rig.until(lambda: rig.nodes[1].view.version == 2)
+        await asyncio.sleep(APPLY_LIMIT_S)
+        statuses = []
+        until_s = now_s() + 1
         while now_s() < until_s:
-            response = await rig.call('/none/new/')
-            if now_s() > until_s - 1:
-                statuses.add(response.status)
-                self.assertIsNotNone(response.find(b'retry-after'))
+            response = await rig.call('/new/')
+            statuses.append(response.status)
+            self.assertIsNotNone(response.find(b'retry-after'))
             await asyncio.sleep(0.05)
-        self.assertEqual({503}, statuses)
-        response = await rig.call('/none/new/', node=1)
-        self.assertEqual(404, response.status)
+        self.assertEqual({503}, set(statuses))
+        served = await rig.call('/new/', node=1)
+        unknown = await rig.call('/look/', node=1)
+        self.assertEqual((200, 404), (served.status, unknown.status))
+
+    def test_late_vm_denies_no_raised_limit(self) -> None:
+        """Guards against a 431 for a head that the configuration allows."""
+        run_scenario(self._raise_limit)
+
+    async def _raise_limit(self, rig: Rig) -> None:
+        await start_late(rig)
+        document = json.loads(make_config(2))
+        document['limits']['maxHeaderBytes'] = 8192
+        rig.store.put(CONFIG_TOPIC, 'config', json.dumps(document).encode())
+        await rig.until(lambda: rig.nodes[1].view.version == 2)
+        await asyncio.sleep(APPLY_LIMIT_S)
+        statuses = [
+            (await send_long_head(rig, node, 6000)).status for node in (0, 1)
+        ]
+        self.assertEqual([503, 200], statuses)
+        beyond = await send_long_head(rig, 1, 9000)
+        self.assertEqual(431, beyond.status)
+
+    def test_late_vm_denies_no_public_route(self) -> None:
+        """Guards against a 401 where no key is needed any more."""
+        run_scenario(self._open_route)
+
+    async def _open_route(self, rig: Rig) -> None:
+        await rig.start(gateways=0)
+        put_tenants(rig, 1, make_route())
+        await start_late(rig, backends=0)
+        put_tenants(rig, 2, make_route(public=True))
+        await rig.until(lambda: rig.nodes[1].view.version == 2)
+        await asyncio.sleep(APPLY_LIMIT_S)
+        statuses = [
+            (await rig.call('/look/', node=node)).status for node in (0, 1)
+        ]
+        self.assertEqual([503, 200], statuses)
+
+    def test_announced_configuration_is_waited_for(self) -> None:
+        """Guards against a 404 while heartbeats tell of a newer edition."""
+        run_scenario(self._announce)
+
+    async def _announce(self, rig: Rig) -> None:
+        await rig.start(gateways=2)
+        await rig.until(lambda: any(n.source.reads_store for n in rig.nodes))
+        rig.nodes.sort(key=lambda one: one.source.reads_store)
+        node, other = rig.nodes
+        node.link.snapshot_fetcher.fetching = True  # so that it fetches nothing
+        rig.store.put(CONFIG_TOPIC, 'config', make_config(2, new=NEW_ROUTE))
+        await rig.until(lambda: other.view.version == 2)
+        await rig.until(lambda: node.evidence.newest_heard().version == 2)
+        response = await rig.call('/new/')
+        self.assertEqual(503, response.status)
+        node.link.snapshot_fetcher.fetching = False
+        await rig.until(lambda: node.view.version == 2)
+        response = await rig.call('/new/')
+        self.assertEqual(200, response.status)
+
+    def test_connected_vms_deny_soon(self) -> None:
+        """Guards against VMs that let callers wait for a 404, or refuse it."""
+        run_scenario(self._call_unknown)
+
+    async def _call_unknown(self, rig: Rig) -> None:
+        await rig.start(gateways=3)
+        for node, _ in enumerate(rig.nodes):
+            sent_s = now_s()
+            response = await rig.call('/none', node=node)
+            self.assertEqual(404, response.status)
+            self.assertLess(now_s() - sent_s, CONFIRM_LIMIT_S)
 
 
 def run_behind_link(scenario: Callable[[Rig, Relay], Awaitable[None]]) -> None:
--- a/wagtailfork/platform/adapter.py
+++ b/wagtailfork/platform/adapter.py
@@ -28,9 +28,7 @@
         watch = PollWatch(
             cfg.store_wait_s,
             cfg.store_settle_s,
-            phase_of(cfg.failure_domain, cfg.regions)
-            if cfg.revocation_limit_ms
-            else 0,
+            phase_of(cfg.failure_domain, cfg.regions),
         )
         return PlatformSource(
             store, view, should_read, on_status, watch, on_confirmed
