Give up an answer of the store by its silence, not by its length

In Glasgow no configuration of 1,400 routes came into force for 8 to 28 s. Cause: reads of the store had a deadline for the whole answer (listing 2 s, read after a failure 0.8 s, poll 1.6 s) that a shared link of 30 Mbit/s can't meet when several VMs read; each was given up with most of it received (278 of some 360 KB) and began again at zero, while what had been sent still filled the link.

The deadline now ends when an answer begins to arrive; its body is given up after 1.5 s without a byte. The start of an answer also counts as the answer that the polls of the other topic wait for.

--- a/wagtailfork/gateway/poll_watch.py
+++ b/wagtailfork/gateway/poll_watch.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 from typing import Final
 
 import attrs
@@ -49,16 +49,28 @@
         return alternating_wait_s(self.wait_s, max(others_s, default=0))
 
     @contextlib.asynccontextmanager
-    async def limit(self, topic: str, wait_s: float) -> AsyncIterator[None]:
-        """Limit a poll; raise ``TimeoutError`` if no poll is answered."""
+    async def limit(
+        self, topic: str, wait_s: float
+    ) -> AsyncIterator[Callable[[], None]]:
+        """Limit a poll; raise ``TimeoutError`` if no poll is answered.
+
+        Yield a function to call when an answer begins to arrive: the limit is
+        on silence, and a long answer may take longer.
+        """
         async with asyncio.timeout(self.silence_limit_s) as timeout:
             self._ends_at_s[topic] = now_s() + wait_s
             self._limits[topic] = timeout
+
+            def record_answer() -> None:
+                self._limits.pop(topic, None)
+                timeout.reschedule(None)
+                self._extend_limits()
+
             try:
-                yield
+                yield record_answer
             finally:
                 self._ends_at_s.pop(topic)
-                self._limits.pop(topic)
+                self._limits.pop(topic, None)
         self._extend_limits()
 
     def _extend_limits(self) -> None:
--- a/wagtailfork/http1/body.py
+++ b/wagtailfork/http1/body.py
@@ -90,13 +90,17 @@
         """Return all bytes of a complete, replayable body."""
         return b''.join(self._pieces)
 
-    async def wait_buffered(self) -> None:
-        """Wait until the body is complete, broken or too large for replay."""
+    async def wait_buffered(self, silence_s: float | None = None) -> None:
+        """Wait until the body is complete, broken or too large for replay.
+
+        Raise ``TimeoutError`` if nothing arrives for ``silence_s``.
+        """
         while not (self.complete or self.truncated):
             if self.size > self.replay_limit_bytes:
                 return
             self._changed.clear()
-            await self._changed.wait()
+            async with asyncio.timeout(silence_s):
+                await self._changed.wait()
 
     async def read(self) -> AsyncIterator[bytes]:
         """Yield pieces in order; raise ``BodyTruncated`` at an early end."""
--- a/wagtailfork/platform/source.py
+++ b/wagtailfork/platform/source.py
@@ -168,8 +168,10 @@
         if not wait_s:
             return await self.store.read_keyed(status.name, start, 0)
         try:
-            async with self.watch.limit(status.name, wait_s):
-                return await self.store.read_keyed(status.name, start, wait_s)
+            async with self.watch.limit(status.name, wait_s) as on_answer:
+                return await self.store.read_keyed(
+                    status.name, start, wait_s, on_answer
+                )
         except TimeoutError as exc:
             self.store.drop_idle()
             limit_s = self.watch.silence_limit_s
--- a/wagtailfork/platform/store.py
+++ b/wagtailfork/platform/store.py
@@ -6,6 +6,7 @@
 import math
 import logging
 import struct
+from collections.abc import Callable
 from typing import Any, Final
 from urllib.parse import urlencode
 
@@ -23,8 +24,12 @@
 
 _OK: Final = 200
 _GONE: Final = 410
-# The store responds in 4 ms, or in 240 ms when it is slowed by a factor of 60.
+# For the head of a response. The store responds in 4 ms, or in 240 ms when it
+# is slowed by a factor of 60.
 _CALL_TIMEOUT_S: Final = 2.0
+# Without any byte of a body. What arrives slowly is not given up: it would
+# start again at zero. A segment that is lost twice is sent again within this.
+_BODY_SILENCE_S: Final = 1.5
 _WAIT_GRACE_S: Final = 0.8  # added to the wait time of a long poll
 _MS_PER_S: Final = 1000
 _MAX_RESPONSE_BYTES: Final = 67108864  # fits a listing of 14,000 servers
@@ -43,9 +48,15 @@
     ValueError,
 )
 
+OnAnswer = Callable[[], None]
+
 _logger = logging.getLogger(__name__)
 
 
+def _ignore_answer() -> None:
+    """Do nothing, for calls whose answer nobody waits for."""
+
+
 class PositionLost(Exception):
     """Report that a topic cannot be read on from a position.
 
@@ -129,12 +140,14 @@
         topic: str,
         start: Position,
         wait_s: float,
+        on_answer: OnAnswer = _ignore_answer,
     ) -> tuple[list[KeyedRecord], Position]:
         """Wait for records from a position; return them and the next one.
 
-        Raise ``PositionLost`` if the topic cannot be read on from there.
+        ``on_answer`` is called when an answer begins to arrive. Raise
+        ``PositionLost`` if the topic cannot be read on from there.
         """
-        framed, end = await self._read_frames(topic, start, wait_s)
+        framed, end = await self._read_frames(topic, start, wait_s, on_answer)
         records = [_parse_keyed(record, offset) for offset, record in framed]
         return [parsed for parsed in records if parsed is not None], end
 
@@ -173,6 +186,7 @@
         topic: str,
         start: Position,
         wait_s: float,
+        on_answer: OnAnswer = _ignore_answer,
     ) -> tuple[list[tuple[int, bytes]], Position]:
         query = {
             'topic': topic,
@@ -184,6 +198,7 @@
             'GET',
             f'/v1/log-read?{urlencode(query)}',
             limit_s=wait_s + _WAIT_GRACE_S,
+            on_answer=on_answer,
         )
         if reply.status == _GONE:
             raise PositionLost(f'{topic} from {start}', _first(reply))
@@ -215,6 +230,7 @@
         target: str,
         payload: bytes = b'',
         limit_s: float = _CALL_TIMEOUT_S,
+        on_answer: OnAnswer = _ignore_answer,
     ) -> Reply:
         self.calls += 1
         headers = [(b'Host', self.address.encode())]
@@ -226,23 +242,39 @@
             body.finish()
         head = render_head(f'{method} {target} HTTP/1.1'.encode(), headers)
         try:
-            async with asyncio.timeout(limit_s):
-                return await self._exchange(head, body)
+            return await self._exchange_within(limit_s, head, body, on_answer)
         except TimeoutError as exc:
             self.drop_idle()
             raise _unavailable(f'{target}: no answer in {limit_s} s') from exc
         except (RequestNotSent, ResponseError) as exc:
             raise _unavailable(f'{target}: {exc}') from exc
 
-    async def _exchange(self, head: bytes, body: Body | None) -> Reply:
+    async def _exchange_within(
+        self,
+        limit_s: float,
+        head: bytes,
+        body: Body | None,
+        on_answer: OnAnswer,
+    ) -> Reply:
+        """Limit the time until an answer begins to arrive."""
+        async with asyncio.timeout(limit_s) as limit:
+
+            def record_answer() -> None:
+                limit.reschedule(None)
+                on_answer()
+
+            return await self._exchange(head, body, record_answer)
+
+    async def _exchange(
+        self, head: bytes, body: Body | None, on_answer: OnAnswer
+    ) -> Reply:
         began_s = now_s()
         conn = await self.pool.acquire(self.address, once=False, timeout_s=1)
         try:
             response = await conn.exchange(head, body, request_id=None)
             self.fastest_s = min(self.fastest_s, now_s() - began_s)
-            # Listings may exceed the default buffer limit of a body.
-            response.body.replay_limit_bytes = _MAX_RESPONSE_BYTES
-            await self._receive(response.body, began_s)
+            on_answer()
+            await _receive(response.body, began_s)
         except BaseException:
             conn.close()
             raise
@@ -254,18 +286,6 @@
             response.status, response.body.payload(), self._update_era(response)
         )
 
-    async def _receive(self, body: Body, began_s: float) -> None:
-        try:
-            await body.wait_buffered()
-        except asyncio.CancelledError:
-            log_event(
-                _logger,
-                'store_answer_left',
-                received_bytes=body.size,
-                ms=(now_s() - began_s) * _MS_PER_S,
-            )
-            raise
-
     def _update_era(self, response: BackendResponse) -> int:
         """Return the era of a response; raise ``ResponseError`` if outdated."""
         text = response.find(_ERA)
@@ -281,6 +301,22 @@
         return era
 
 
+async def _receive(body: Body, began_s: float) -> None:
+    # Listings may exceed the default buffer limit of a body.
+    body.replay_limit_bytes = _MAX_RESPONSE_BYTES
+    try:
+        await body.wait_buffered(_BODY_SILENCE_S)
+    except (TimeoutError, asyncio.CancelledError) as exc:
+        log_event(
+            _logger,
+            'store_answer_left',
+            why=type(exc).__name__,
+            received_bytes=body.size,
+            ms=(now_s() - began_s) * _MS_PER_S,
+        )
+        raise
+
+
 def parse_era(text: bytes) -> int | None:
     """Parse an era; None if it is no valid number.
 
