Let one VM of a domain load the configuration, and claim the load first

A VM that has a configuration now reads the small topic of the servers first, which shows whether the store answers it; claims the load by its heartbeat, so that the others hold off; and goes on after 50 ms if it is the first of those that claim. A load that fails ends the claim. VMs without a configuration load as before.

--- a/wagtailfork/gateway/tests/test_late_configuration.py
+++ b/wagtailfork/gateway/tests/test_late_configuration.py
@@ -167,7 +167,9 @@
             self.assertLess(now_s() - sent_s, CONFIRM_LIMIT_S)
 
 
-def run_behind_link(scenario: Callable[[Rig, Relay], Awaitable[None]]) -> None:
+def run_behind_link(
+    scenario: Callable[[Rig, Relay], Awaitable[None]], vms: int = 4
+) -> None:
     """Run a scenario whose domain reaches the store over one slow link."""
 
     async def run_with_link() -> None:
@@ -176,7 +178,7 @@
         await link.start()
         try:
             await rig.start(gateways=0)
-            for number in range(4):
+            for number in range(vms):
                 rig.add_gateway(
                     f'vm{number}', store_address=f'127.0.0.1:{link.port}'
                 )
@@ -221,3 +223,22 @@
             while not all(node.view.version == 2 for node in rig.nodes):
                 await asyncio.sleep(0.05)
         self.assertLess(link.bytes_relayed - sent, 2 * len(document))
+
+    def test_killed_reader_is_replaced_by_one(self) -> None:
+        """Guards against VMs that take over one after the other and load."""
+        run_behind_link(self._kill_reader, vms=12)
+
+    async def _kill_reader(self, rig: Rig, link: Relay) -> None:
+        document = make_large_config(2)
+        readers = [node for node in rig.nodes if node.source.reads_store]
+        rig.store.faults.delay_s = 0.4
+        for reader in readers:
+            rig.kill(reader)
+        left = [node for node in rig.nodes if node not in readers]
+        sent = link.bytes_relayed
+        rig.store.put(CONFIG_TOPIC, 'config', document)
+        async with asyncio.timeout(LIMIT_S):
+            while not all(node.view.version == 2 for node in left):
+                await asyncio.sleep(0.05)
+        # A listing is a third longer than the document.
+        self.assertLess(link.bytes_relayed - sent, 3 * len(document))
--- a/wagtailfork/platform/source.py
+++ b/wagtailfork/platform/source.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
 import attrs
@@ -31,13 +31,22 @@
 _ENTRY_ERRORS: Final = (KeyError, RecursionError, TypeError, ValueError)
 _ELECTION_CHECK_S: Final = 0.1  # a sixteenth of a reader's lease
 
+_CLAIM_S: Final = 0.05  # for the claims of the neighbours to arrive
+_CLAIM_CHECK_S: Final = 0.02  # five round trips to the store in its own region
+
 _logger = logging.getLogger(__name__)
 
 
+async def _start_at_once() -> bool:
+    return True
+
+
 @attrs.define(eq=False)
 class _TopicStatus:
     name: str
     ok: bool = False
+    # Whether this VM has told the others that it loads the topic.
+    claimed: bool = False
     failures: int = 0
     read_at_s: float = attrs.field(factory=now_s)  # or the start
 
@@ -45,6 +54,7 @@
         if not self.ok:
             log_event(_logger, 'store_reached', topic=self.name)
         self.ok = True
+        self.claimed = False
         self.failures = 0
         self.read_at_s = now_s()
 
@@ -58,8 +68,15 @@
                 error=error,
             )
         self.ok = False
+        self.claimed = False
         self.failures += 1
 
+    def record_pause(self) -> None:
+        """Record that this VM does not follow the topic."""
+        self.ok = False
+        self.claimed = False
+        self.failures = 0
+
     def backoff_s(self) -> float:
         """Return the delay before the next read; none after a first failure."""
         return min(_MAX_BACKOFF_S, _BACKOFF_S * max(0, self.failures - 1))
@@ -89,8 +106,12 @@
 
     @property
     def reads_store(self) -> bool:
-        """Return whether the last reads of both topics succeeded."""
-        return self._config_status.ok and self._servers_status.ok
+        """Return whether the last reads of both topics succeeded.
+
+        The first read of the configuration may be under way still.
+        """
+        config = self._config_status
+        return self._servers_status.ok and (config.ok or config.claimed)
 
     @property
     def usage(self) -> StoreClient:
@@ -113,11 +134,15 @@
 
     async def follow_configuration(self) -> None:
         """Apply configuration changes to the view until cancelled."""
-        await self._follow_topic(self._config_status, self._read_configuration)
+        await self._follow_topic(
+            self._config_status, self._read_configuration, self._claim
+        )
 
     async def follow_servers(self) -> None:
         """Apply changes of the servers to the view until cancelled."""
-        await self._follow_topic(self._servers_status, self._read_servers)
+        await self._follow_topic(
+            self._servers_status, self._read_servers, _start_at_once
+        )
 
     async def list_vms(self) -> list[Member]:
         """Return the registered VMs."""
@@ -143,24 +168,53 @@
         await self.store.append(TRAFFIC_TOPIC, render_summary(summary))
 
     async def _follow_topic(
-        self, status: _TopicStatus, read_once: Callable[[], Any]
+        self,
+        status: _TopicStatus,
+        read_once: Callable[[], Any],
+        may_start: Callable[[], Awaitable[bool]],
     ) -> None:
         while True:
             if not self.should_read():
-                status.ok = False
-                status.failures = 0
+                status.record_pause()
+                self.on_status()
                 await asyncio.sleep(_ELECTION_CHECK_S)
                 continue
-            try:
-                await read_once()
-            except WagtailforkError as exc:
-                status.record_failure(str(exc))
-                self.on_status()
-                self.view.start_recovery_window(now_s())
-                await asyncio.sleep(status.backoff_s())
-            else:
-                status.record_success()
-                self.on_status()
+            if status.ok or await may_start():
+                await self._read_topic(status, read_once)
+
+    async def _read_topic(
+        self, status: _TopicStatus, read_once: Callable[[], Any]
+    ) -> None:
+        try:
+            await read_once()
+        except WagtailforkError as exc:
+            status.record_failure(str(exc))
+            self.on_status()
+            self.view.start_recovery_window(now_s())
+            await asyncio.sleep(status.backoff_s())
+        else:
+            status.record_success()
+            self.on_status()
+
+    async def _claim(self) -> bool:
+        """Return whether to load the configuration; else claim to do so.
+
+        It may be large, and a link that is shared by several VMs that load it
+        serves none of them. So the small topic tells first whether the store
+        answers this VM, and of the VMs that claim the load one goes on.
+        """
+        status = self._config_status
+        if self.view.configuration is None or status.claimed:
+            return True
+        if not self._servers_status.ok:
+            await asyncio.sleep(_CLAIM_CHECK_S)
+            return False
+        if status.failures:
+            return True
+        status.claimed = True
+        self.on_status()
+        await asyncio.sleep(_CLAIM_S)
+        return False
 
     async def _read_records(
         self, status: _TopicStatus, start: Position, wait_s: float
