Call no request wrong by tickets that may be out of date

From 15 s without a read to the log's end (within which a ticket is in force everywhere) it answers configuration_stale (503, not run). test_late_vm_denies_no_new_service fails without the change: the code was unknown_service at any age.

--- a/wagtailfork/node/entry.py
+++ b/wagtailfork/node/entry.py
@@ -209,6 +209,7 @@
             self.sender,
             self.placement,
             self.hedger,
+            self.follower.age_s,
         )
         self.ledger = Ledger(
             self.cfg.vm,
--- a/wagtailfork/proxy/dispatcher.py
+++ b/wagtailfork/proxy/dispatcher.py
@@ -1,6 +1,7 @@
 """Request dispatch: authorization, rate limits, claims and retries."""
 
 import time
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -23,6 +24,9 @@
 from .request import CallerRequest
 from .sender import Sender
 
+# Within which an accepted ticket is in force everywhere.
+DENIAL_AGE_LIMIT_S: Final = 15.0
+
 
 @attrs.define
 class _SendHistory:
@@ -47,6 +51,8 @@
     _sender: Sender
     _placement: Placement
     _hedger: Hedger
+    # Seconds since the state was known to be the newest.
+    _state_age_s: Callable[[], float]
     _state: ControlState = attrs.field(factory=ControlState)
     _retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     limits: FleetLimits = attrs.field(factory=FleetLimits)
@@ -65,7 +71,22 @@
         self.limits.replace(limits)
 
     def authorize(self, req: CallerRequest) -> Service:
-        """Return the request's service if its customer may call it."""
+        """Return the request's service if its customer may call it.
+
+        If the state may lack a ticket, no request is called wrong.
+        """
+        try:
+            return self._authorize(req)
+        except WagtailforkError as exc:
+            age_s = self._state_age_s()
+            if age_s < DENIAL_AGE_LIMIT_S:
+                raise
+            raise WagtailforkError(
+                ResultCode.configuration_stale,
+                f'{exc}, by a state of {age_s:.1f} s ago',
+            ) from exc
+
+    def _authorize(self, req: CallerRequest) -> Service:
         service = self._state.get_object('service', req.service)
         if not isinstance(service, Service):
             raise WagtailforkError(ResultCode.unknown_service, req.service)
