Send VMs the change of a configuration in place of the whole

A change of one route made each VM fetch the whole configuration from whoever told it of the change; 24 VMs that asked one with a link of 5 Mbit/s at once all timed out after 0.6 s and started at zero.

A VM keeps its last eight documents, and sends one whose edition is among them a delta: the document is cut where an object of JSON ends, and pieces that both have are named by their place. Older builds neither ask for deltas nor get them.

The tests of TestDeltas need the new fields. The histories of test_handed_tables.py fetch with and without deltas; VMs never have a document that the store had not, and end with its newest one.

--- a/wagtailfork/bench/gateway.py
+++ b/wagtailfork/bench/gateway.py
@@ -1,14 +1,16 @@
 """Measure how the costs of a gateway grow, for docs/CAPACITY.md."""
 
+import json
 import time
 import tracemalloc
 from typing import Final
 
+from ..fleet.configuration_delta import apply_delta, render_delta
 from ..fleet.member import short_row
 from ..fleet.members import Membership
 from ..fleet.messages import Heartbeat, decode, encode
 from ..fleet.position import NO_EDITION, NO_POSITION, Position
-from ..fleet.snapshots import parse_snapshot, render_snapshot
+from ..fleet.snapshots import pack, parse_snapshot, render_snapshot
 from ..gateway.view import View
 from ..platform.documents import decode_configuration, decode_server
 from ..routing.candidate import Candidate
@@ -25,7 +27,7 @@
 DOMAIN_SIZES: Final = (5, 28, 60, 120)  # VMs of the failure domain under test
 DOMAIN_COUNT: Final = 18
 FLEET_SIZES: Final = (100, 1000, 7320)  # VMs in all failure domains
-ROUTE_COUNTS: Final = (10, 400, 4000)
+ROUTE_COUNTS: Final = (10, 400, 1400, 4000)
 SETTLE_S: Final = 30.0  # until gossip about the start has ended
 OBSERVATION_S: Final = 10.0
 _FEW_REPEATS: Final = 20
@@ -82,6 +84,30 @@
     ]
 
 
+def measure_delta(routes: int) -> list[Measurement]:
+    """Measure what a change of one route costs with ``routes`` routes."""
+    before = make_configuration(routes)
+    document = json.loads(before)
+    document['version'] += 1
+    changed = list(document['routes'])[routes // 2]
+    document['routes'][changed]['timeoutMs'] += 1
+    after = json.dumps(document).encode()
+    delta = render_delta(NO_EDITION, before, after)
+    assert delta is not None  # noqa: S101
+    make_us = time_us(
+        lambda: render_delta(NO_EDITION, before, after), _FEW_REPEATS
+    )
+    apply_us = time_us(
+        lambda: apply_delta(delta, NO_EDITION, before), _FEW_REPEATS
+    )
+    return [
+        make_measurement('whole, packed', routes, len(pack(after)), 'bytes'),
+        make_measurement('delta of one route', routes, len(delta), 'bytes'),
+        make_measurement('make it', routes, make_us, 'us'),
+        make_measurement('apply it', routes, apply_us, 'us'),
+    ]
+
+
 def measure_choice(servers: int) -> list[Measurement]:
     """Measure the selection among the servers of one service."""
     table = ServerTable()
@@ -168,6 +194,7 @@
         measurements.extend(measure_view(size))
     for routes in ROUTE_COUNTS:
         measurements.extend(measure_configuration(routes))
+        measurements.extend(measure_delta(routes))
     for servers in SERVICE_SIZES:
         measurements.extend(measure_choice(servers))
         measurements.extend(measure_placements(servers))
--- a/wagtailfork/fleet/snapshots.py
+++ b/wagtailfork/fleet/snapshots.py
@@ -30,6 +30,7 @@
 
 _PATH: Final = '/snapshot'
 _QUERY_NAMES: Final = ('version', 'config_era', 'era', 'offset')
+_DELTAS: Final = 'deltas'  # VMs of older builds don't send it
 _OK: Final = 200
 FETCH_TIMEOUT_S: Final = 0.6  # five round trips between regions plus transfer
 MAX_SNAPSHOT_BYTES: Final = 33554432
@@ -64,12 +65,14 @@
 class Snapshot:
     """Hold the configuration, and the server table or its recent changes.
 
-    The configuration is compressed, as many VMs fetch it at the same time. A
-    table comes with newer entries that the sender could not use, and with the
-    departures that an older copy of it may lack.
+    The configuration is compressed, as many VMs fetch it at the same time, or
+    a delta. A table comes with newer entries that the sender could not use, and
+    with the departures that an older copy of it may lack.
     """
 
-    packed_configuration: bytes = b''
+    # Not in the representation, as they hold the keys of customers.
+    packed_configuration: bytes = attrs.field(default=b'', repr=False)
+    configuration_delta: bytes | None = attrs.field(default=None, repr=False)
     configuration_era: int = 0
     position: Position = NO_POSITION
     servers: Mapping[str, bytes] | None = None
@@ -79,15 +82,37 @@
     evacuations: EvacuationRows | None = None  # None if there never was one
 
 
+@attrs.frozen
+class SnapshotQuery:
+    """Say what a VM has, and whether it applies deltas."""
+
+    edition: Edition
+    position: Position
+    deltas: bool = False
+
+    def render(self) -> str:
+        """Return the query of the URL.
+
+        >>> SnapshotQuery(Edition(7, 2), Position(2, 40)).render()
+        'version=7&config_era=2&era=2&offset=40'
+        """
+        edition, position = self.edition, self.position
+        numbers = (edition.version, edition.era, position.era, position.offset)
+        fields = dict(zip(_QUERY_NAMES, numbers, strict=True))
+        if self.deltas:
+            fields[_DELTAS] = 1
+        return urlencode(fields)
+
+
 def pack(raw: bytes) -> bytes:
     """Compress a configuration."""
     return zlib.compress(raw, 1)
 
 
-def unpack(packed: bytes) -> bytes:
+def unpack(packed: bytes, limit_bytes: int = MAX_SNAPSHOT_BYTES) -> bytes:
     """Decompress a configuration or raise ``frame_malformed``.
 
-    It is malformed if it is cut short or larger than ``MAX_SNAPSHOT_BYTES``.
+    It is malformed if it is cut short or larger than ``limit_bytes``.
 
     >>> unpack(pack(b'abc')), unpack(b'')
     (b'abc', b'')
@@ -96,7 +121,7 @@
         return b''
     decompressor = zlib.decompressobj()
     try:
-        raw = decompressor.decompress(packed, MAX_SNAPSHOT_BYTES)
+        raw = decompressor.decompress(packed, limit_bytes)
     except zlib.error as exc:
         raise WagtailforkError(
             ResultCode.frame_malformed, f'configuration: {exc}'
@@ -104,7 +129,7 @@
     if not decompressor.eof:
         raise WagtailforkError(
             ResultCode.frame_malformed,
-            f'configuration cut short, or over {MAX_SNAPSHOT_BYTES} bytes',
+            f'configuration cut short, or over {limit_bytes} bytes',
         )
     return raw
 
@@ -130,6 +155,8 @@
         'changes': changes,
         'departures': [list(attrs.astuple(one)) for one in snapshot.departures],
     }
+    if snapshot.configuration_delta is not None:
+        parts['configuration_delta'] = snapshot.configuration_delta
     if snapshot.evacuations is not None:
         parts['evacuations'] = render_evacuations(snapshot.evacuations)
     return cbor2.dumps(parts)
@@ -152,8 +179,8 @@
         ) from exc
 
 
-def parse_query(req: CallerRequest) -> tuple[Edition, Position]:
-    """Return the edition and the position that the requesting VM has."""
+def parse_query(req: CallerRequest) -> SnapshotQuery:
+    """Return what the requesting VM has."""
     query = parse_qs(urlsplit(req.target.decode('latin-1')).query)
     try:
         version, config_era, era, offset = (
@@ -164,7 +191,11 @@
             ResultCode.bad_request,
             req.target.decode('latin-1'),
         ) from exc
-    return Edition(version, config_era), Position(era, offset)
+    return SnapshotQuery(
+        Edition(version, config_era),
+        Position(era, offset),
+        deltas=query.get(_DELTAS) == ['1'],
+    )
 
 
 @attrs.define
@@ -183,16 +214,14 @@
 
 
 async def fetch_snapshot(
-    address: str, edition: Edition, position: Position, transfer: Transfer
+    address: str, query: SnapshotQuery, transfer: Transfer
 ) -> Snapshot:
-    """Fetch what is newer than an edition and a position.
+    """Fetch what is newer than what this VM has.
 
     Raise ``service_unreachable`` or ``frame_malformed``.
     """
-    numbers = (edition.version, edition.era, position.era, position.offset)
-    query = urlencode(dict(zip(_QUERY_NAMES, numbers, strict=True)))
     head = render_head(
-        f'GET {_PATH}?{query} HTTP/1.1'.encode(),
+        f'GET {_PATH}?{query.render()} HTTP/1.1'.encode(),
         [(b'Host', address.encode()), (b'Connection', b'close')],
     )
     try:
@@ -230,6 +259,7 @@
     return Snapshot(
         packed_configuration=as_bytes(parts['configuration']),
         configuration_era=as_count(parts['configuration_era']),
+        configuration_delta=_parse_delta(parts.get('configuration_delta')),
         position=position,
         servers=table,
         # VMs of older builds don't send it.
@@ -244,6 +274,13 @@
     )
 
 
+def _parse_delta(found: Any) -> bytes | None:
+    """Return an empty delta, which can't be applied, for a malformed one."""
+    if found is None or isinstance(found, bytes):
+        return found
+    return b''
+
+
 def _parse_rows(
     parse_row: Callable[[Any], Row], rows: Iterable[Any]
 ) -> list[Row]:
--- a/wagtailfork/gateway/side_handlers.py
+++ b/wagtailfork/gateway/side_handlers.py
@@ -38,8 +38,11 @@
             self.replicator.store_replica(req.body.payload())
             req.respond(HTTP_OK, [])
             return
-        edition, position = parse_query(req)
-        send_snapshot(req, self.view.snapshot(edition, position))
+        query = parse_query(req)
+        snapshot = self.view.snapshot(
+            query.edition, query.position, deltas=query.deltas
+        )
+        send_snapshot(req, snapshot)
 
 
 @attrs.frozen
--- a/wagtailfork/gateway/snapshot_fetcher.py
+++ b/wagtailfork/gateway/snapshot_fetcher.py
@@ -10,7 +10,7 @@
 from ..core.logs import log_event, log_warning
 from ..fleet.member import MemberRow
 from ..fleet.position import START
-from ..fleet.snapshots import Transfer, fetch_snapshot
+from ..fleet.snapshots import SnapshotQuery, Transfer, fetch_snapshot
 from .view import View
 
 _logger = logging.getLogger(__name__)
@@ -49,10 +49,13 @@
 
     async def _fetch(self, address: str) -> None:
         transfer = Transfer()
+        query = SnapshotQuery(
+            self.view.edition,
+            self.view.position,
+            deltas=not self.view.wants_whole,
+        )
         try:
-            snapshot = await fetch_snapshot(
-                address, self.view.edition, self.view.position, transfer
-            )
+            snapshot = await fetch_snapshot(address, query, transfer)
             self.view.merge(snapshot, address)
         except WagtailforkError as exc:
             log_warning(
--- a/wagtailfork/gateway/tests/test_handed_tables.py
+++ b/wagtailfork/gateway/tests/test_handed_tables.py
@@ -1,5 +1,6 @@
 """A table that is handed on says all that the store said up to its position."""
 
+import itertools
 import json
 from typing import Any, ClassVar
 from unittest import mock
@@ -10,11 +11,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
+    invariant,
     rule,
     run_state_machine_as_test,
 )
 
-from ...fleet.position import NO_POSITION, Position
+from ...fleet.position import NO_POSITION, Edition, Position
 from ...fleet.snapshots import parse_snapshot, render_snapshot
 from ...platform.documents import decode_configuration, decode_server
 from .. import departures, view
@@ -65,9 +67,13 @@
     return View(decode_configuration, decode_server)
 
 
-def hand_on(sender: View, receiver: View) -> None:
+def hand_on(sender: View, receiver: View, *, deltas: bool = False) -> None:
     """Let a VM fetch what another one has."""
-    snapshot = sender.snapshot(receiver.edition, receiver.position)
+    snapshot = sender.snapshot(
+        receiver.edition,
+        receiver.position,
+        deltas=deltas and not receiver.wants_whole,
+    )
     receiver.merge(parse_snapshot(render_snapshot(snapshot)), 'vm')
 
 
@@ -90,10 +96,13 @@
         found = dict(self.records)
         return {name: raw for name, raw in found.items() if raw is not None}
 
+    def document(self) -> bytes:
+        """Return the newest configuration."""
+        return configuration(self.version, *self.services)
+
     def list_for(self, view: View) -> None:
         """Let a VM list the table."""
-        raw = configuration(self.version, *self.services)
-        view.offer_configuration(raw, self.era, 'store')
+        view.offer_configuration(self.document(), self.era, 'store')
         view.replace_servers(self.newest(), self.end, 'store')
 
     def read_for(self, view: View) -> None:
@@ -102,8 +111,7 @@
         if start.era != self.era or start == NO_POSITION:
             self.list_for(view)
             return
-        raw = configuration(self.version, *self.services)
-        view.offer_configuration(raw, self.era, 'store')
+        view.offer_configuration(self.document(), self.era, 'store')
         for offset, row in enumerate(self.records[start.offset :]):
             position = Position(self.era, start.offset + offset + 1)
             view.apply_server(*row, position, 'store')
@@ -121,6 +129,7 @@
         self.log = Log()
         self.written: dict[str, bytes | None] = {}
         self.born = 0
+        self.documents = {b''}
         self.views = [new_view() for _ in range(3)]
 
     @rule(name=NAMES, service=st.sampled_from(SERVICES))
@@ -174,12 +183,14 @@
         """Let a VM list the table, as after a compaction."""
         self.log.list_for(self.views[vm])
 
-    @rule(vm=VMS, sender=VMS)
-    def fetch(self, vm: int, sender: int) -> None:
-        """Let a VM fetch what another one has."""
+    @rule(vm=VMS, sender=VMS, deltas=st.booleans())
+    def fetch(self, vm: int, sender: int, *, deltas: bool) -> None:
+        """Let a VM, maybe of an older build, fetch what another one has."""
         mine, theirs = self.views[vm], self.views[sender]
         if theirs.edition > mine.edition or theirs.position > mine.position:
-            hand_on(theirs, mine)
+            hand_on(theirs, mine, deltas=deltas)
+            assert mine.edition >= theirs.edition
+            assert not mine.wants_whole
 
     @rule(seconds=st.integers(1, 3))
     def advance(self, seconds: int) -> None:
@@ -188,10 +199,17 @@
         for one in self.views:
             one.remove_expired(self.clock_s)
 
+    @invariant()
+    def no_document_is_made_up(self) -> None:
+        """Check that each VM has a document of the store."""
+        self.documents.add(self.log.document())
+        assert {one.raw_configuration for one in self.views} <= self.documents
+
     def teardown(self) -> None:
         """Let all settle; compare the VMs with the newest entries."""
         self.log.version += 1
         self.log.services = SERVICES[1:]
+        self._spread()
         for one in self.views:
             self.log.read_for(one)
         for _ in range(2):
@@ -210,6 +228,14 @@
             assert found == wanted, (found, wanted)
             assert one.servers.keys() <= self.log.newest().keys()
 
+    def _spread(self) -> None:
+        """Let one VM read, and the others fetch the newest document."""
+        self.log.read_for(self.views[0])
+        for sender, receiver in itertools.pairwise(self.views):
+            hand_on(sender, receiver, deltas=True)
+            assert receiver.raw_configuration == self.log.document()
+            assert receiver.edition == Edition(self.log.version, self.log.era)
+
     def _taken_over(self, sender: View) -> View:
         """Return the view of a VM that has only what another one gave it."""
         receiver = new_view()
--- a/wagtailfork/gateway/tests/test_view.py
+++ b/wagtailfork/gateway/tests/test_view.py
@@ -2,12 +2,15 @@
 
 import json
 
+import attrs
+import cbor2
 import testtools
 
 from ...core.clock import now_s
-from ...fleet.position import Position
-from ...fleet.snapshots import parse_snapshot, render_snapshot
+from ...fleet.position import NO_POSITION, Edition, Position
+from ...fleet.snapshots import Snapshot, parse_snapshot, render_snapshot
 from ...platform.documents import decode_configuration, decode_server
+from ...standin.documents import make_route
 from ..view import REREGISTER_S, SETTLING_S, View
 from .rig import make_config
 
@@ -84,6 +87,86 @@
         self.assertEqual(1, view.version)
 
 
+class TestDeltas(testtools.TestCase):
+    """Changes of the configuration, for VMs that have an earlier one."""
+
+    def test_older_build_gets_the_whole(self) -> None:
+        """Guards against deltas for a VM that can't apply them."""
+        view = self._reader(2)
+        for known, deltas in ((1, False), (0, True)):
+            snapshot = view.snapshot(
+                Edition(known, 1), NO_POSITION, deltas=deltas
+            )
+            self.assertIs(None, snapshot.configuration_delta)
+            self.assertTrue(snapshot.packed_configuration)
+
+    def test_malformed_delta_costs_nothing_else(self) -> None:
+        """Guards against a table that is lost with a delta."""
+        source = self._reader(2)
+        source.replace_servers({'s': make_entry()}, Position(1, 1), 'test')
+        good = source.snapshot(Edition(1, 1), NO_POSITION, deltas=True)
+        rendered = render_snapshot(good)
+        number = cbor2.loads(rendered) | {'configuration_delta': 10**12}
+        broken = [
+            attrs.evolve(good, configuration_delta=b'x'),
+            attrs.evolve(good, configuration_delta=b''),
+            parse_snapshot(cbor2.dumps(number)),
+        ]
+        for snapshot in broken:
+            view = self._reader(1)
+            view.merge(snapshot, 'peer')
+            self.assertEqual((1, {'s'}), (view.version, set(view.servers)))
+            self.assertTrue(view.wants_whole)
+            self._fetch(source, view)
+            self.assertEqual(source.raw_configuration, view.raw_configuration)
+            self.assertFalse(view.wants_whole)
+
+    def test_delta_of_another_base(self) -> None:
+        """Guards against VMs that ask for the same delta for ever."""
+        source, view = make_view(), self._reader(1)
+        # The store had two documents of one version.
+        for version, routes in ((1, {'new': make_route()}), (2, {})):
+            document = make_config(version, **routes)
+            source.offer_configuration(document, 1, 'test')
+        self._fetch(source, view)
+        self.assertEqual((1, True), (view.version, view.wants_whole))
+        self._fetch(source, view)
+        self.assertEqual(source.raw_configuration, view.raw_configuration)
+
+    def test_restored_store_keeps_its_document(self) -> None:
+        """Guards against a whole configuration for a change of the era."""
+        source, view = self._reader(1), self._reader(1)
+        source.offer_configuration(make_config(1), 2, 'test')
+        snapshot = self._fetch(source, view)
+        self.assertEqual(b'', snapshot.packed_configuration)
+        self.assertEqual(Edition(1, 2), view.edition)
+        source.offer_configuration(make_config(2), 2, 'test')
+        snapshot = self._fetch(source, view)
+        self.assertEqual(b'', snapshot.packed_configuration)
+        self.assertEqual(Edition(2, 2), view.edition)
+
+    def test_snapshot_shows_no_keys(self) -> None:
+        """Guards against keys of customers in the log."""
+        shown = repr(
+            Snapshot(packed_configuration=b'k', configuration_delta=b'k')
+        )
+        self.assertNotIn("b'k'", shown)
+
+    def _reader(self, newest: int) -> View:
+        """Return a view that has read all versions up to the newest."""
+        view = make_view()
+        for version in range(1, newest + 1):
+            view.offer_configuration(make_config(version), 1, 'test')
+        return view
+
+    def _fetch(self, source: View, view: View) -> Snapshot:
+        snapshot = source.snapshot(
+            view.edition, view.position, deltas=not view.wants_whole
+        )
+        view.merge(parse_snapshot(render_snapshot(snapshot)), 'peer')
+        return snapshot
+
+
 class TestMoves(testtools.TestCase):
     """Entries that name another service or address than before."""
 
--- a/wagtailfork/gateway/view.py
+++ b/wagtailfork/gateway/view.py
@@ -10,8 +10,9 @@
 from ..core.errors import WagtailforkError
 from ..core.logs import log_event, log_warning
 from ..fleet.changes import ChangeWindow
+from ..fleet.configuration_delta import ConfigurationHistory, apply_delta
 from ..fleet.position import NO_POSITION, Edition, Position
-from ..fleet.snapshots import Change, Snapshot, pack, unpack
+from ..fleet.snapshots import Change, Snapshot, unpack
 from .evacuations import Evacuations
 from .departures import Departures, is_superseded
 from .model import BackendServer, Configuration
@@ -52,7 +53,9 @@
     # Not in the representation, as it holds the keys of customers.
     raw_configuration: bytes = attrs.field(default=b'', repr=False)
     _configuration_era: int = 0
-    _packed: bytes = attrs.field(default=b'', repr=False)
+    _history: ConfigurationHistory = attrs.field(factory=ConfigurationHistory)
+    # As the last delta could not be applied.
+    wants_whole: bool = False
     _changes: ChangeWindow = attrs.field(factory=ChangeWindow)
     position: Position = NO_POSITION
     servers: dict[str, BackendServer] = attrs.field(factory=dict)
@@ -99,8 +102,11 @@
         """
         if not raw:
             return False
+        self.wants_whole = False
         if raw == self.raw_configuration:
-            self._configuration_era = max(self._configuration_era, era)
+            if era > self._configuration_era:
+                self._configuration_era = era
+                self._history.add(self.edition, raw)
             return True
         try:
             found = self.decode_configuration(raw)
@@ -122,7 +128,7 @@
         self.configuration = found
         self._configuration_era = era
         self.raw_configuration = raw
-        self._packed = pack(raw)
+        self._history.add(edition, raw)
         self.configured_at_s = now_s()
         self._try_set_aside(list(self.set_aside), source)
         self._notify_change(source)
@@ -230,15 +236,11 @@
         if expired:
             self._notify_change(EXPIRED)
 
-    def snapshot(self, edition: Edition, position: Position) -> Snapshot:
+    def snapshot(
+        self, edition: Edition, position: Position, *, deltas: bool = False
+    ) -> Snapshot:
         """Return the changes since an edition and a position."""
-        configuration = Snapshot(
-            packed_configuration=self._packed
-            if self.edition > edition
-            else b'',
-            configuration_era=self._configuration_era,
-            evacuations=self.evacuations.rows(),
-        )
+        configuration = self._newer_configuration(edition, deltas=deltas)
         if self.position <= position:
             return configuration
         changes = self._changes.since(position)
@@ -258,10 +260,8 @@
         """Apply a snapshot from another VM."""
         if snapshot.evacuations is not None:
             self.evacuations.merge(snapshot.evacuations, source)
-        packed = snapshot.packed_configuration
-        if packed:
-            era = snapshot.configuration_era
-            self.offer_configuration(unpack(packed), era, source)
+        raw = self._received_configuration(snapshot, source)
+        self.offer_configuration(raw, snapshot.configuration_era, source)
         if snapshot.servers is None:
             for change in snapshot.changes:
                 self.apply_server(
@@ -276,6 +276,40 @@
                 snapshot.servers, snapshot.position, source, snapshot.set_aside
             )
 
+    def _newer_configuration(
+        self, edition: Edition, *, deltas: bool
+    ) -> Snapshot:
+        """Return a snapshot that holds the configuration alone."""
+        found = Snapshot(
+            configuration_era=self._configuration_era,
+            evacuations=self.evacuations.rows(),
+        )
+        if self.edition <= edition:
+            return found
+        delta = self._history.delta_from(edition) if deltas else None
+        if delta is None:
+            packed = self._history.packed
+            return attrs.evolve(found, packed_configuration=packed)
+        return attrs.evolve(found, configuration_delta=delta)
+
+    def _received_configuration(self, snapshot: Snapshot, source: str) -> bytes:
+        """Return the document of a snapshot, empty if there is none."""
+        delta = snapshot.configuration_delta
+        if delta is None:
+            return unpack(snapshot.packed_configuration)
+        try:
+            return apply_delta(delta, self.edition, self.raw_configuration)
+        except WagtailforkError as exc:
+            self.wants_whole = True
+            log_warning(
+                _logger,
+                'delta_unusable',
+                in_force=self.edition,
+                source=source,
+                error=exc,
+            )
+        return b''
+
     def _enter_era(self, era: int) -> bool:
         """Start to settle in a later era; return whether there was another."""
         if self.position != NO_POSITION and era == self.position.era:
