Give up a fetch between VMs by its silence, not by its length

A fetch had 0.6 s for the whole transfer, which a whole configuration can't meet over a link that others share; what was given up began again at zero.

A fetch now ends after 0.6 s without a connection or head, after 1 s without a byte of the body, and after 5 s in any case. snapshot_merged says whether the configuration came whole, as a delta or not at all.

test_slow_transfer_is_not_given_up (66 KB over 33 KB/s), test_sender_that_goes_on and test_silent_senders failed before; the latter two with the names of the new limits added there. test_sender_that_is_never_done guards the new outer bound and passed before, by the deadline of 0.6 s.

--- a/wagtailfork/fleet/snapshots.py
+++ b/wagtailfork/fleet/snapshots.py
@@ -1,6 +1,7 @@
 """Transfer of configuration and server table between VMs."""
 
 import asyncio
+import contextlib
 import logging
 import zlib
 from collections.abc import Callable, Iterable, Mapping
@@ -32,8 +33,13 @@
 _QUERY_NAMES: Final = ('version', 'config_era', 'era', 'offset')
 _DELTAS: Final = 'deltas'  # VMs of older builds don't send it
 _OK: Final = 200
-FETCH_TIMEOUT_S: Final = 0.6  # five round trips between regions plus transfer
+ANSWER_LIMIT_S: Final = 0.6  # for a connection and a head: some round trips
+SILENCE_LIMIT_S: Final = 1.0  # without a byte of the body
+FETCH_LIMIT_S: Final = 5.0  # a slow sender keeps others from being asked
 MAX_SNAPSHOT_BYTES: Final = 33554432
+WHOLE: Final = 'whole'
+DELTA: Final = 'delta'
+NO_CONFIGURATION: Final = 'none'
 _MS_PER_S: Final = 1000
 _MAX_ERROR_CHARS: Final = 99  # of a decoder error
 
@@ -81,6 +87,17 @@
     departures: tuple[Departure, ...] = ()
     evacuations: EvacuationRows | None = None  # None if there never was one
 
+    @property
+    def form(self) -> str:
+        """Return whether the configuration is whole, a delta or none.
+
+        >>> Snapshot(configuration_delta=b'').form, Snapshot().form
+        ('delta', 'none')
+        """
+        if self.configuration_delta is not None:
+            return DELTA
+        return WHOLE if self.packed_configuration else NO_CONFIGURATION
+
 
 @attrs.frozen
 class SnapshotQuery:
@@ -225,7 +242,7 @@
         [(b'Host', address.encode()), (b'Connection', b'close')],
     )
     try:
-        async with asyncio.timeout(FETCH_TIMEOUT_S):
+        async with asyncio.timeout(FETCH_LIMIT_S):
             raw = await _fetch(address, head, transfer)
     except (TimeoutError, RequestNotSent, ResponseError) as exc:
         raise WagtailforkError(
@@ -237,14 +254,14 @@
 
 async def _fetch(address: str, head: bytes, transfer: Transfer) -> bytes:
     host, _, port = address.rpartition(':')
-    conn = await connect(host, int(port), FETCH_TIMEOUT_S)
-    try:
-        response = await conn.exchange(head, request_id=None)
+    due_s = asyncio.get_running_loop().time() + ANSWER_LIMIT_S
+    conn = await connect(host, int(port), ANSWER_LIMIT_S)
+    with contextlib.closing(conn):
+        async with asyncio.timeout_at(due_s):
+            response = await conn.exchange(head, request_id=None)
         transfer.body = response.body
         response.body.replay_limit_bytes = MAX_SNAPSHOT_BYTES
-        await response.body.wait_buffered()
-    finally:
-        conn.close()
+        await response.body.wait_buffered(SILENCE_LIMIT_S)
     if response.status != _OK or not response.body.complete:
         raise ResponseError(f'status {response.status}')
     return response.body.payload()
--- a/wagtailfork/gateway/snapshot_fetcher.py
+++ b/wagtailfork/gateway/snapshot_fetcher.py
@@ -70,7 +70,7 @@
                 _logger,
                 'snapshot_merged',
                 peer=address,
-                configuration=bool(snapshot.packed_configuration),
+                configuration=snapshot.form,
                 **transfer.describe(),
             )
         finally:
