Hold off other VMs while a load goes on, and let none wait for ever

A review of the election found, each shown by a trial: a VM whose servers topic fails never reads the configuration again; a reader whose link drips keeps its domain waiting (15 s and more); during a load over 1.6 s the other topic's poll fails and ends the claim; a first poll of the fourth of four domains waits 1.75 s where 1.6 s is the limit; VMs without a configuration all load at once; each denial scanned all members (0.36 ms at 140 VMs).

The answer that begins to arrive now is the claim, for both topics, also after a failure; it counts while it brings 30 KB/s after 1.2 s. VMs that start claim a load from a far store. The wait for the servers ends after 0.5 s. Limits of polls are suspended while an answer arrives. First polls are staggered downwards from half a wait. The newest edition heard of is looked up at most each 50 ms, log lines leave out queries, and the log's age on the own interface counts suspension. The claim lies in gateway/topic_load.py, as the adapter decides nothing. A gateway that is cancelled ends its parts, so that Rig.kill leaves no reader behind.

--- a/wagtailfork/control/follower.py
+++ b/wagtailfork/control/follower.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from ..core.clock import now_s
 from ..core.errors import WagtailforkError
 from ..core.logs import log_event, log_warning
 from .fold import ControlState, LogRecord, RecordResult
@@ -39,7 +40,9 @@
     _client: LogClient
     _poll_s: float
     reader: LogReader = attrs.field(factory=LogReader)
-    read_at: float = _NEVER  # monotonic time of the last read to the log's end
+    read_at: float = (
+        _NEVER  # time, by `now_s`, of the last read to the log's end
+    )
     _earliest: int = 0
     _snapshot_offset: int = -1
     _snapshot_time_s: float = attrs.field(factory=time.time)
@@ -71,7 +74,7 @@
 
     def age_s(self) -> float:
         """Return the seconds since the log was last read to its end."""
-        return time.monotonic() - self.read_at
+        return now_s() - self.read_at
 
     def add_listener(self, listener: Listener) -> None:
         """Call ``listener`` with each new state."""
@@ -142,7 +145,7 @@
             self._update_last_snapshot(entry)
             self._resolve_watched(entry.offset, entry.record, folds)
         if self.reader.next_offset() >= page.next and not self.reader.in_gap:
-            self.read_at = time.monotonic()
+            self.read_at = now_s()
             newly_caught_up = not self._caught_up
             self._caught_up = True
         if page.records or newly_caught_up:
--- a/wagtailfork/gateway/evidence.py
+++ b/wagtailfork/gateway/evidence.py
@@ -1,5 +1,6 @@
 """What a VM has to know before it tells a caller that its request is wrong."""
 
+import math
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -8,7 +9,7 @@
 from ..core.clock import now_s
 from ..core.settings import GatewaySettings
 from ..fleet.members import Membership
-from ..fleet.position import Edition
+from ..fleet.position import NO_EDITION, Edition
 from .freshness import MARGIN_S, ConfigurationAge
 from .view import View
 
@@ -16,6 +17,7 @@
 # Four round trips between regions, so that a lost datagram can be repeated.
 CONFIRM_LIMIT_S: Final = 0.3
 _ASK_PERIOD_S: Final = 0.1
+_HEARD_PERIOD_S: Final = 0.05  # for the rows of all VMs, however many requests
 # Without a confirmation, requests that come this much later don't wait again.
 _RETRY_PERIOD_S: Final = 1.0
 # For which VMs are asked after a request that needed a confirmation.
@@ -57,6 +59,8 @@
     membership: Membership
     limit_s: float
     ask: Callable[[], None] = _ask_nobody
+    _heard: Edition = NO_EDITION
+    _heard_at_s: float = -math.inf
     _wanted_until_s: float = 0
     _unconfirmed_at_s: float = -_RETRY_PERIOD_S
 
@@ -67,8 +71,12 @@
 
     def newest_heard(self) -> Edition:
         """Return the newest edition that this VM or another live one has."""
-        heard = [one.edition for one in self.membership.alive(now_s())]
-        return max(heard, default=self.view.edition)
+        now = now_s()
+        if now - self._heard_at_s >= _HEARD_PERIOD_S:
+            editions = [one.edition for one in self.membership.alive(now)]
+            self._heard = max(editions, default=NO_EDITION)
+            self._heard_at_s = now
+        return max(self._heard, self.view.edition)
 
     def allows_denial(self, at_s: float) -> bool:
         """Return whether a request that arrived then may be called wrong."""
--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -248,9 +248,14 @@
         await self._listen()
         parts = asyncio.create_task(self._supervise())
         stop = asyncio.create_task(self._stop.wait())
-        await asyncio.wait((parts, stop), return_when=asyncio.FIRST_COMPLETED)
-        await shut_down(self)
-        parts.cancel()
+        try:
+            await asyncio.wait(
+                (parts, stop), return_when=asyncio.FIRST_COMPLETED
+            )
+            await shut_down(self)
+        finally:
+            parts.cancel()
+            stop.cancel()
         log_event(_logger, 'stopped')
         self.log.flush()
 
--- a/wagtailfork/gateway/poll_watch.py
+++ b/wagtailfork/gateway/poll_watch.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable, Iterable
+import functools
+from collections.abc import AsyncIterator, Callable, Iterable, Iterator
 from typing import Final
 
 import attrs
@@ -30,6 +31,7 @@
     phase: float = 0
     _ends_at_s: dict[str, float] = attrs.field(factory=dict)
     _limits: dict[str, asyncio.Timeout] = attrs.field(factory=dict)
+    _arriving: set[str] = attrs.field(factory=set)  # topics of answers
 
     @property
     def silence_limit_s(self) -> float:
@@ -40,7 +42,7 @@
         """Return the wait of the next poll of a topic."""
         now = now_s()
         if not self._ends_at_s and self.phase:
-            return self.wait_s * (1 + self.phase) / 2
+            return self.wait_s * (1 - self.phase) / 2
         others_s = [
             ends_at_s - now
             for other, ends_at_s in self._ends_at_s.items()
@@ -57,27 +59,47 @@
         Yield a function to call when an answer begins to arrive: the limit is
         on silence, and a long answer may take longer.
         """
-        async with asyncio.timeout(self.silence_limit_s) as timeout:
+        async with asyncio.timeout(self._limit_s()) as timeout:
             self._ends_at_s[topic] = now_s() + wait_s
             self._limits[topic] = timeout
-
-            def record_answer() -> None:
-                self._limits.pop(topic, None)
-                timeout.reschedule(None)
-                self._extend_limits()
-
             try:
-                yield record_answer
+                with self.receive(topic) as record_answer:
+                    yield record_answer
             finally:
                 self._ends_at_s.pop(topic)
                 self._limits.pop(topic, None)
         self._extend_limits()
 
+    @contextlib.contextmanager
+    def receive(self, topic: str) -> Iterator[Callable[[], None]]:
+        """Suspend the limits of polls while an answer arrives.
+
+        Yield a function to call when it begins to. A long answer holds up
+        those behind it; its own silence is limited where it is read.
+        """
+        try:
+            yield functools.partial(self._begin_answer, topic)
+        finally:
+            if topic in self._arriving:
+                self._arriving.remove(topic)
+                self._extend_limits()
+
+    def _begin_answer(self, topic: str) -> None:
+        own = self._limits.pop(topic, None)
+        if own is not None:
+            own.reschedule(None)
+        self._arriving.add(topic)
+        self._extend_limits()
+
+    def _limit_s(self) -> float | None:
+        return None if self._arriving else self.silence_limit_s
+
     def _extend_limits(self) -> None:
-        due_s = asyncio.get_running_loop().time() + self.silence_limit_s
+        limit_s = self._limit_s()
+        now = asyncio.get_running_loop().time()
         for timeout in self._limits.values():
             if not timeout.expired():
-                timeout.reschedule(due_s)
+                timeout.reschedule(None if limit_s is None else now + limit_s)
 
 
 def phase_of(failure_domain: str, domains: Iterable[str]) -> float:
--- a/wagtailfork/gateway/responder.py
+++ b/wagtailfork/gateway/responder.py
@@ -239,7 +239,7 @@
             id=metadata.request_id,
             verdict=verdict,
             host=(req.find(b'host') or b'').decode('latin-1'),
-            target=req.target.decode('latin-1'),
+            path=req.target.decode('latin-1').partition('?')[0],
             **self.evidence.describe(req.arrived_s),
         )
         self.refuse(
@@ -313,6 +313,6 @@
             status=status,
             why=why,
             host=(req.find(b'host') or b'').decode('latin-1'),
-            target=req.target.decode('latin-1'),
+            path=req.target.decode('latin-1').partition('?')[0],
             **self.evidence.describe(req.arrived_s),
         )
--- a/wagtailfork/platform/source.py
+++ b/wagtailfork/platform/source.py
@@ -1,6 +1,7 @@
 """Configuration, servers and registered VMs in the platform's store."""
 
 import asyncio
+import functools
 import json
 import logging
 from collections.abc import Awaitable, Callable
@@ -17,23 +18,20 @@
 from ..fleet.wire_values import as_address, as_text
 from ..gateway.freshness import confirmed_by_read
 from ..gateway.poll_watch import PollWatch
+from ..gateway.topic_load import LoadClaim, TopicStatus
 from ..gateway.view import STORE, View
+from ..http1.body import Body
 from .evacuations import apply_evacuations, list_evacuated
-from .store import KeyedRecord, PositionLost, StoreClient
+from .store import KeyedRecord, Listing, PositionLost, StoreClient
 from .traffic import TRAFFIC_TOPIC, render_summary
 
 _CONFIG_TOPIC: Final = 'keyed.op'
 _CONFIG_KEY: Final = 'config'
 _SERVERS_TOPIC: Final = 'keyed.servers'
 _VMS_TOPIC: Final = 'keyed.wagtailfork-vms'
-_BACKOFF_S: Final = 0.25  # times the failures in a row after the first
-_MAX_BACKOFF_S: Final = 1.0
 _ENTRY_ERRORS: Final = (KeyError, RecursionError, TypeError, ValueError)
 _ELECTION_CHECK_S: Final = 0.1  # a sixteenth of a reader's lease
 
-_CLAIM_S: Final = 0.05  # for the claims of the neighbours to arrive
-_CLAIM_CHECK_S: Final = 0.02  # five round trips to the store in its own region
-
 _logger = logging.getLogger(__name__)
 
 
@@ -41,47 +39,6 @@
     return True
 
 
-@attrs.define(eq=False)
-class _TopicStatus:
-    name: str
-    ok: bool = False
-    # Whether this VM has told the others that it loads the topic.
-    claimed: bool = False
-    failures: int = 0
-    read_at_s: float = attrs.field(factory=now_s)  # or the start
-
-    def record_success(self) -> None:
-        if not self.ok:
-            log_event(_logger, 'store_reached', topic=self.name)
-        self.ok = True
-        self.claimed = False
-        self.failures = 0
-        self.read_at_s = now_s()
-
-    def record_failure(self, error: str) -> None:
-        if self.ok:
-            log_warning(
-                _logger,
-                'store_lost',
-                topic=self.name,
-                read_age_s=round(now_s() - self.read_at_s, 3),
-                error=error,
-            )
-        self.ok = False
-        self.claimed = False
-        self.failures += 1
-
-    def record_pause(self) -> None:
-        """Record that this VM does not follow the topic."""
-        self.ok = False
-        self.claimed = False
-        self.failures = 0
-
-    def backoff_s(self) -> float:
-        """Return the delay before the next read; none after a first failure."""
-        return min(_MAX_BACKOFF_S, _BACKOFF_S * max(0, self.failures - 1))
-
-
 @attrs.define(eq=False)
 class PlatformSource:
     """Apply changes in the store to the view while ``should_read`` is true."""
@@ -93,25 +50,36 @@
     watch: PollWatch
     # Called with the time up to which all of the configuration was applied.
     on_confirmed: Callable[[float], None]
-    _config_status: _TopicStatus = attrs.field(
-        factory=lambda: _TopicStatus(_CONFIG_TOPIC)
+    _config_status: TopicStatus = attrs.field(
+        factory=lambda: TopicStatus(_CONFIG_TOPIC)
     )
-    _servers_status: _TopicStatus = attrs.field(
-        factory=lambda: _TopicStatus(_SERVERS_TOPIC)
+    _servers_status: TopicStatus = attrs.field(
+        factory=lambda: TopicStatus(_SERVERS_TOPIC)
     )
+    _claim: LoadClaim = attrs.field(init=False)
     _config_position: Position | None = None
     # Whether a listing may have hidden a configuration behind its newest
     # record, which could not be read.
     _may_lack: bool = False
 
+    def __attrs_post_init__(self) -> None:
+        """Create the claim on the configuration."""
+        self._claim = LoadClaim(
+            status=self._config_status,
+            probe=self._servers_status,
+            in_use=lambda: self.view.configuration is not None,
+            store_call_s=lambda: self.store.fastest_s,
+            announce=self.on_status,
+        )
+
     @property
     def reads_store(self) -> bool:
-        """Return whether the last reads of both topics succeeded.
+        """Return whether the store answers this VM on both topics.
 
-        The first read of the configuration may be under way still.
+        A long answer counts for a while, so that the other VMs of the domain
+        don't load the same beside it.
         """
-        config = self._config_status
-        return self._servers_status.ok and (config.ok or config.claimed)
+        return self._config_status.is_read and self._servers_status.is_read
 
     @property
     def usage(self) -> StoreClient:
@@ -135,7 +103,7 @@
     async def follow_configuration(self) -> None:
         """Apply configuration changes to the view until cancelled."""
         await self._follow_topic(
-            self._config_status, self._read_configuration, self._claim
+            self._config_status, self._read_configuration, self._claim.may_load
         )
 
     async def follow_servers(self) -> None:
@@ -169,7 +137,7 @@
 
     async def _follow_topic(
         self,
-        status: _TopicStatus,
+        status: TopicStatus,
         read_once: Callable[[], Any],
         may_start: Callable[[], Awaitable[bool]],
     ) -> None:
@@ -183,7 +151,7 @@
                 await self._read_topic(status, read_once)
 
     async def _read_topic(
-        self, status: _TopicStatus, read_once: Callable[[], Any]
+        self, status: TopicStatus, read_once: Callable[[], Any]
     ) -> None:
         try:
             await read_once()
@@ -196,35 +164,31 @@
             status.record_success()
             self.on_status()
 
-    async def _claim(self) -> bool:
-        """Return whether to load the configuration; else claim to do so.
-
-        It may be large, and a link that is shared by several VMs that load it
-        serves none of them. So the small topic tells first whether the store
-        answers this VM, and of the VMs that claim the load one goes on.
-        """
-        status = self._config_status
-        if self.view.configuration is None or status.claimed:
-            return True
-        if not self._servers_status.ok:
-            await asyncio.sleep(_CLAIM_CHECK_S)
-            return False
-        if status.failures:
-            return True
-        status.claimed = True
+    def _record_answer(
+        self, status: TopicStatus, begin: Callable[[], None], body: Body
+    ) -> None:
+        begin()
+        status.record_load(body)
         self.on_status()
-        await asyncio.sleep(_CLAIM_S)
-        return False
 
     async def _read_records(
-        self, status: _TopicStatus, start: Position, wait_s: float
+        self, status: TopicStatus, start: Position, wait_s: float
     ) -> tuple[list[KeyedRecord], Position]:
         if not wait_s:
-            return await self.store.read_keyed(status.name, start, 0)
+            with self.watch.receive(status.name) as begin:
+                return await self.store.read_keyed(
+                    status.name,
+                    start,
+                    0,
+                    functools.partial(self._record_answer, status, begin),
+                )
         try:
-            async with self.watch.limit(status.name, wait_s) as on_answer:
+            async with self.watch.limit(status.name, wait_s) as begin_poll:
                 return await self.store.read_keyed(
-                    status.name, start, wait_s, on_answer
+                    status.name,
+                    start,
+                    wait_s,
+                    functools.partial(self._record_answer, status, begin_poll),
                 )
         except TimeoutError as exc:
             self.store.drop_idle()
@@ -234,14 +198,21 @@
                 f'{status.name}: no answer to any poll in {limit_s} s',
             ) from exc
 
-    def _next_wait_s(self, status: _TopicStatus) -> float:
+    async def _list(self, status: TopicStatus) -> Listing:
+        with self.watch.receive(status.name) as begin:
+            return await self.store.list_newest(
+                status.name,
+                functools.partial(self._record_answer, status, begin),
+            )
+
+    def _next_wait_s(self, status: TopicStatus) -> float:
         # The first read does not wait, so its success is known at once.
         return self.watch.next_wait_s(status.name) if status.ok else 0
 
     async def _read_configuration(self) -> None:
         began_s = now_s()
         if self._config_position is None:
-            listing = await self.store.list_newest(_CONFIG_TOPIC)
+            listing = await self._list(self._config_status)
             self.view.evacuations.apply_listing(
                 list_evacuated(listing.records), listing.end, STORE
             )
@@ -312,7 +283,7 @@
             )
 
     async def _reload_servers(self) -> None:
-        listing = await self.store.list_newest(_SERVERS_TOPIC)
+        listing = await self._list(self._servers_status)
         in_use = self.view.position
         if listing.end.era < in_use.era:
             # Asking again at once would not help.
--- a/wagtailfork/platform/store.py
+++ b/wagtailfork/platform/store.py
@@ -48,12 +48,12 @@
     ValueError,
 )
 
-OnAnswer = Callable[[], None]
+OnAnswer = Callable[[Body], None]
 
 _logger = logging.getLogger(__name__)
 
 
-def _ignore_answer() -> None:
+def _ignore_answer(_body: Body) -> None:
     """Do nothing, for calls whose answer nobody waits for."""
 
 
@@ -118,9 +118,14 @@
     # End of each topic as of the last read; a read may stop before it.
     ends: dict[str, int] = attrs.field(factory=dict)
 
-    async def list_newest(self, topic: str) -> Listing:
-        """Return the newest record of each key of a topic."""
-        page = await self._newest_page(topic, None)
+    async def list_newest(
+        self, topic: str, on_answer: OnAnswer = _ignore_answer
+    ) -> Listing:
+        """Return the newest record of each key of a topic.
+
+        ``on_answer`` is called when the first page begins to arrive.
+        """
+        page = await self._newest_page(topic, None, on_answer)
         records = dict(page.records)
         end = page.end
         while page.has_more:
@@ -144,7 +149,7 @@
     ) -> tuple[list[KeyedRecord], Position]:
         """Wait for records from a position; return them and the next one.
 
-        ``on_answer`` is called when an answer begins to arrive. Raise
+        ``on_answer`` is called when records begin to arrive. Raise
         ``PositionLost`` if the topic cannot be read on from there.
         """
         framed, end = await self._read_frames(topic, start, wait_s, on_answer)
@@ -210,11 +215,18 @@
         self.ends[topic] = _OFFSETS.unpack_from(payload)[0]
         return framed, Position(reply.era, offset)
 
-    async def _newest_page(self, topic: str, after: str | None) -> _Page:
+    async def _newest_page(
+        self,
+        topic: str,
+        after: str | None,
+        on_answer: OnAnswer = _ignore_answer,
+    ) -> _Page:
         query: dict[str, Any] = {'topic': topic, 'part': 0}
         if after is not None:
             query['after'] = after
-        reply = await self._call('GET', f'/v1/log-newest?{urlencode(query)}')
+        reply = await self._call(
+            'GET', f'/v1/log-newest?{urlencode(query)}', on_answer=on_answer
+        )
         raw = _expect_ok(reply)
         try:
             return _parse_page(json.loads(raw), reply.era)
@@ -245,7 +257,8 @@
             return await self._exchange_within(limit_s, head, body, on_answer)
         except TimeoutError as exc:
             self.drop_idle()
-            raise _unavailable(f'{target}: no answer in {limit_s} s') from exc
+            why = f'no answer in {limit_s} s, or silence within it'
+            raise _unavailable(f'{target}: {why}') from exc
         except (RequestNotSent, ResponseError) as exc:
             raise _unavailable(f'{target}: {exc}') from exc
 
@@ -259,21 +272,25 @@
         """Limit the time until an answer begins to arrive."""
         async with asyncio.timeout(limit_s) as limit:
 
-            def record_answer() -> None:
+            def record_answer(response: BackendResponse) -> None:
                 limit.reschedule(None)
-                on_answer()
+                if response.status == _OK:
+                    on_answer(response.body)
 
             return await self._exchange(head, body, record_answer)
 
     async def _exchange(
-        self, head: bytes, body: Body | None, on_answer: OnAnswer
+        self,
+        head: bytes,
+        body: Body | None,
+        on_head: Callable[[BackendResponse], None],
     ) -> Reply:
         began_s = now_s()
         conn = await self.pool.acquire(self.address, once=False, timeout_s=1)
         try:
             response = await conn.exchange(head, body, request_id=None)
             self.fastest_s = min(self.fastest_s, now_s() - began_s)
-            on_answer()
+            on_head(response)
             await _receive(response.body, began_s)
         except BaseException:
             conn.close()
