--- a/wagtailfork/fleet/snapshots.py
+++ b/wagtailfork/fleet/snapshots.py
@@ -239,7 +239,8 @@
     """
     head = render_head(
         f'GET {_PATH}?{query.render()} HTTP/1.1'.encode(),
-        [(b'Host', address.encode()), (b'Connection', b'close')],
+        # Not to be closed by the sender, which counts a transfer until then.
+        [(b'Host', address.encode())],
     )
     try:
         async with asyncio.timeout(FETCH_LIMIT_S):
--- a/wagtailfork/gateway/meters.py
+++ b/wagtailfork/gateway/meters.py
@@ -63,6 +63,8 @@
     hedges: Counter[str] = attrs.field(factory=Counter)  # by service
     answers: Counter[AnswerKind] = attrs.field(factory=Counter)  # of servers
     referrals: Counter[str] = attrs.field(factory=Counter)  # by outcome
+    # Sent to other VMs, by form of the configuration, or refused.
+    snapshots: Counter[str] = attrs.field(factory=Counter)
     moved_bytes: Counter[str] = attrs.field(factory=Counter)  # bytes, by reach
 
     def record_ended(
--- a/wagtailfork/gateway/metrics.py
+++ b/wagtailfork/gateway/metrics.py
@@ -93,6 +93,12 @@
             'outcome',
             meters.referrals,
         ),
+        _Table(
+            'wagtailfork_snapshots',
+            'Sent to VMs by form of the configuration',
+            'configuration',
+            meters.snapshots,
+        ),
         _Table('wagtailfork_copies', 'Copies', 'service', meters.hedges),
         _Table(
             'wagtailfork_moved_bytes', 'Bodies', 'reach', meters.moved_bytes
--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -205,7 +205,7 @@
             OverlapPolicy(self.view).may_overlap,
             self.forwarder.responder.reject,
         )
-        peers = PeerHandler(self.view, self.replicator)
+        peers = PeerHandler(self.view, self.replicator, self.meters.snapshots)
         self._side_servers: list[tuple[CallerServer, str]] = [
             (CallerServer(directory.handle_ready, Limits), cfg.ready_address),
             (
--- a/wagtailfork/gateway/tests/peer_scene.py
+++ b/wagtailfork/gateway/tests/peer_scene.py
@@ -53,6 +53,7 @@
     view: View
     link: Relay
     fetcher: SnapshotFetcher
+    handler: PeerHandler
     server: CallerServer
 
     def row(self) -> Member:
@@ -109,14 +110,15 @@
 
     async def _add(self, bytes_per_s: float) -> None:
         view = View(_decode, decode_server)
-        server = CallerServer(PeerHandler(view, mock.Mock()).handle, Limits)
+        handler = PeerHandler(view, mock.Mock())
+        server = CallerServer(handler.handle, Limits)
         host, _, port = free_address().rpartition(':')
         await server.listen(host, int(port))
         link = Relay(int(port))
         await link.start()
         link.bytes_per_s = bytes_per_s
         fetcher = SnapshotFetcher(f'127.0.0.1:{link.port}', view)
-        peer = Peer(view, link, fetcher, server)
+        peer = Peer(view, link, fetcher, handler, server)
         view.on_change = functools.partial(self._relay, peer)
         self.peers.append(peer)
 
--- a/wagtailfork/gateway/tests/test_traffic.py
+++ b/wagtailfork/gateway/tests/test_traffic.py
@@ -9,6 +9,8 @@
 
 from ...cli.main import main
 from ...core.clock import now_s
+from ...fleet.position import NO_EDITION, NO_POSITION
+from ...fleet.snapshots import SnapshotQuery
 from ...platform.store import StoreClient
 from ...platform.traffic import read_store_traffic
 from ...standin.scripted_backend import (
@@ -168,6 +170,8 @@
         await rig.until(lambda: len(node.view.servers) == 2)
         await rig.call('/look/1')
         await rig.call('/nowhere/')
+        query = SnapshotQuery(NO_EDITION, NO_POSITION).render()
+        await rig.get(node.cfg.fleet_address, f'/snapshot?{query}')
         response = await rig.get(node.cfg.metrics_address or '', '/metrics')
         page = response.body.payload().decode()
         for wanted in (
@@ -179,6 +183,7 @@
             'wagtailfork_config_version 1',
             'wagtailfork_waiting{service="stock"} 0',
             'wagtailfork_retries_spent{service="stock"} 0',
+            'wagtailfork_snapshots{configuration="whole"} 1',
         ):
             self.assertIn(wanted, page)
         self.assertRegex(page, 'wagtailfork_answers{.*status="200"} 1')
