Let one VM of a domain load what is whole from another domain

VMs of a domain that starts each fetched the whole configuration over the link between regions, from whichever VM answered first: 12 transfers for 12 VMs.

A VM without a configuration or a table, or with one on which a delta could not be applied, asks VMs of its own domain at once. It asks one of another domain only if it is the first of its live neighbours by rendezvous hash, or after 0.3 s times the bit length of its rank; a neighbour that has it meanwhile is waited for until 2 s are over, as it may be unreachable. All others ask anybody at once.

Not covered: a VM whose edition or position the sender no longer keeps learns that only by the whole it gets.

--- a/wagtailfork/gateway/fleet_link.py
+++ b/wagtailfork/gateway/fleet_link.py
@@ -72,8 +72,7 @@
     def __attrs_post_init__(self) -> None:
         """Create the message handlers."""
         self._datagrams = Datagrams(self._receive)
-        me = self.membership.me.address
-        self.snapshot_fetcher = SnapshotFetcher(me, self.view)
+        self.snapshot_fetcher = SnapshotFetcher(self.membership, self.view)
         self.heartbeats = Heartbeats(
             membership=self.membership,
             view=self.view,
--- a/wagtailfork/gateway/tests/peer_scene.py
+++ b/wagtailfork/gateway/tests/peer_scene.py
@@ -10,8 +10,11 @@
 
 import attrs
 
+from ...core.clock import now_s
 from ...fleet.member import Member
-from ...fleet.members import HEARTBEAT_PERIOD_S
+from ...fleet.members import HEARTBEAT_PERIOD_S, Membership
+from ...fleet.position import START, Position
+from ...fleet.telling import JOIN_OTHER_DOMAIN
 from ...http1.request import Limits
 from ...http1.server import CallerServer
 from ...platform.documents import decode_configuration, decode_server
@@ -50,6 +53,7 @@
 class Peer:
     """Hold what one VM has, serves and fetches."""
 
+    membership: Membership
     view: View
     link: Relay
     fetcher: SnapshotFetcher
@@ -58,35 +62,58 @@
 
     def row(self) -> Member:
         """Return the row that its heartbeats carry."""
-        return Member(
-            address=f'127.0.0.1:{self.link.port}',
-            caller_address='127.0.0.1:1',
-            failure_domain='a',
-            region='r',
-            incarnation=1,
-            edition=self.view.edition,
+        self.membership.advance(
+            edition=self.view.edition, position=max(START, self.view.position)
         )
+        return self.membership.me
 
 
 @attrs.define(eq=False)
 class PeerScene:
-    """Run VMs of one failure domain that tell each other what they have."""
+    """Run VMs that tell each other what they have."""
 
     peers: list[Peer] = attrs.field(factory=list)
     _random: random.Random = attrs.field(factory=lambda: random.Random(_SEED))
     _tasks: list['asyncio.Task[Any]'] = attrs.field(factory=list)
 
-    async def start(self, count: int, bytes_per_s: float = 0) -> None:
-        """Start VMs whose links carry so much in both directions together."""
-        for _ in range(count):
-            await self._add(bytes_per_s)
+    async def start(
+        self, count: int, bytes_per_s: float = 0, domains: str = 'a'
+    ) -> None:
+        """Start VMs whose links carry so much in both directions together.
+
+        Each letter is a failure domain, whose VMs know each other.
+        """
+        for domain in domains:
+            for _ in range(count):
+                await self._add(bytes_per_s, domain)
+        for one in self.peers:
+            rows = [peer.row() for peer in self.near(one)]
+            one.membership.merge(list(rows), now_s())
         self._tasks.append(asyncio.create_task(self._send_heartbeats()))
 
+    def join(self, started: Iterable[Peer]) -> None:
+        """Let VMs that start hear from some of each other domain."""
+        for one in started:
+            near = self.near(one)
+            far = [peer for peer in self.peers if peer not in near]
+            for sender in self._random.sample(far, JOIN_OTHER_DOMAIN):
+                self._tell(sender, [one])
+
+    def near(self, peer: Peer) -> list[Peer]:
+        """Return the VMs of a failure domain."""
+        domain = peer.membership.me.failure_domain
+        return [
+            one
+            for one in self.peers
+            if one.membership.me.failure_domain == domain
+        ]
+
     def put(self, version: int) -> None:
-        """Let the first VM read a configuration, and tell all others."""
+        """Let the first VM read the store, and tell its domain."""
         first = self.peers[0]
         first.view.offer_configuration(make_large_config(version), 1, 'store')
-        self._tell(first, self.peers)
+        first.view.replace_servers({}, Position(1, version), 'store')
+        self._tell(first, self.near(first))
 
     async def until_all_have(self, version: int, limit_s: float) -> None:
         """Wait for a version; raise ``TimeoutError`` after ``limit_s``."""
@@ -108,7 +135,7 @@
             for conn in list(one.server.connections):
                 conn.abort()
 
-    async def _add(self, bytes_per_s: float) -> None:
+    async def _add(self, bytes_per_s: float, domain: str) -> None:
         view = View(_decode, decode_server)
         handler = PeerHandler(view, mock.Mock())
         server = CallerServer(handler.handle, Limits)
@@ -117,24 +144,36 @@
         link = Relay(int(port))
         await link.start()
         link.bytes_per_s = bytes_per_s
-        fetcher = SnapshotFetcher(f'127.0.0.1:{link.port}', view)
-        peer = Peer(view, link, fetcher, handler, server)
+        me = Member(
+            address=f'127.0.0.1:{link.port}',
+            caller_address='127.0.0.1:1',
+            failure_domain=domain,
+            region=domain,
+            incarnation=1,
+        )
+        membership = Membership(me)
+        fetcher = SnapshotFetcher(membership, view)
+        peer = Peer(membership, view, link, fetcher, handler, server)
         view.on_change = functools.partial(self._relay, peer)
         self.peers.append(peer)
 
     def _relay(self, peer: Peer, source: str) -> None:
         if source != 'store':
-            self._tell(peer, self._random.sample(self.peers, RELAY_FANOUT))
+            near = self.near(peer)
+            self._tell(peer, self._random.sample(near, RELAY_FANOUT))
 
     def _tell(self, sender: Peer, receivers: Iterable[Peer]) -> None:
+        row = sender.row()
         for one in receivers:
-            one.fetcher.fetch_if_newer(sender.row())
+            one.membership.merge([row], now_s())
+            one.fetcher.fetch_if_newer(row)
 
     async def _send_heartbeats(self) -> None:
         while True:
             await asyncio.sleep(HEARTBEAT_PERIOD_S)
             for one in self.peers:
-                self._tell(one, self._random.sample(self.peers, SENDERS))
+                near = self._random.sample(self.near(one), SENDERS)
+                self._tell(one, [*near, self._random.choice(self.peers)])
 
 
 def run_peers(scenario: Callable[[PeerScene], Awaitable[None]]) -> None:
--- a/wagtailfork/gateway/tests/test_evacuations.py
+++ b/wagtailfork/gateway/tests/test_evacuations.py
@@ -6,6 +6,7 @@
 from ...core.clock import now_s
 from ...core.event_log import EventLog
 from ...fleet.member import Member, short_row
+from ...fleet.members import Membership
 from ...fleet.messages import Heartbeat, decode, encode
 from ...fleet.position import START, Position
 from ...fleet.snapshots import parse_snapshot, render_snapshot
@@ -93,7 +94,9 @@
         other = make_view()
         self.assertEqual(ZONE, tell(late, other))
         heard = make_member(evacuations=late.evacuations.position)
-        SnapshotFetcher('me', reader).fetch_if_newer(heard)
+        me = make_member(address='10.0.0.2:1')
+        # It would ask a VM of its own domain at once.
+        SnapshotFetcher(Membership(me), reader).fetch_if_newer(heard)
         self.assertEqual(NONE, tell(reader, other))
         self.assertEqual(NONE, tell(reader, late))
 
--- a/wagtailfork/gateway/tests/test_narrow_links.py
+++ b/wagtailfork/gateway/tests/test_narrow_links.py
@@ -7,6 +7,7 @@
 
 from ...core.clock import now_s
 from ...core.errors import WagtailforkError
+from ...fleet.member import rendezvous_rank
 from ...fleet.position import NO_EDITION, NO_POSITION, Edition, Position
 from ...fleet.snapshots import (
     ANSWER_LIMIT_S,
@@ -17,9 +18,11 @@
 )
 from ...http1.headers import render_head
 from ..side_handlers import MAX_WHOLE_SENT
-from .peer_scene import STEP_S, PeerScene, make_large_config, run_peers
+from .peer_scene import STEP_S, Peer, PeerScene, make_large_config, run_peers
 
 VMS: Final = 24
+DOMAIN_VMS: Final = 12
+FAR_TRANSFERS: Final = 2  # by the first, and by the next if that one is slow
 BYTES_PER_S: Final = 625000  # 5 Mbit/s
 SHARED_BYTES_PER_S: Final = 33000  # what is left of a busy link
 # Of the users' smallest bound for a change of the configuration.
@@ -72,6 +75,72 @@
         self.assertGreater(len(pack(make_large_config(1))), 50000)
 
 
+class TestDomains(testtools.TestCase):
+    """What is whole passes the link between two domains once."""
+
+    def test_domain_that_starts_fetches_once(self) -> None:
+        """Guards against VMs that each load over the link between regions."""
+        run_peers(self._start_domain)
+
+    async def _start_domain(self, scene: PeerScene) -> None:
+        far, _ = await self._start_two(scene)
+        await scene.until_all_have(1, WHOLE_LIMIT_S)
+        self.assertLessEqual(self._whole_sent(far), FAR_TRANSFERS)
+        scene.put(2)
+        await scene.until_all_have(2, APPLY_LIMIT_S)
+        self.assertLessEqual(self._whole_sent(far), FAR_TRANSFERS)
+
+    def test_first_of_a_domain_that_fails(self) -> None:
+        """Guards against a domain that waits for one VM for ever."""
+        run_peers(self._lose_first)
+
+    async def _lose_first(self, scene: PeerScene) -> None:
+        far, started = await self._start_two(scene, fail_first=True)
+        async with asyncio.timeout(APPLY_LIMIT_S):
+            while sum(one.view.version for one in started) < DOMAIN_VMS - 1:
+                await asyncio.sleep(STEP_S)
+        self.assertLess(self._whole_sent(far), DOMAIN_VMS // 2)
+
+    def test_unreachable_neighbour(self) -> None:
+        """Guards against a VM that waits for one that it can't reach."""
+        run_peers(self._cut_neighbours)
+
+    async def _cut_neighbours(self, scene: PeerScene) -> None:
+        _, started = await self._start_two(scene)
+        # All others have it before this one may ask.
+        late = started[-1]
+        for one in started[:-1]:
+            one.link.stop_responding()
+        async with asyncio.timeout(WHOLE_LIMIT_S):
+            while late.view.version != 1:
+                await asyncio.sleep(STEP_S)
+
+    async def _start_two(
+        self, scene: PeerScene, *, fail_first: bool = False
+    ) -> tuple[list[Peer], list[Peer]]:
+        """Start a domain beside one that has a configuration.
+
+        Return the VMs that have it, and the others in the order of their rank.
+        """
+        await scene.start(DOMAIN_VMS, BYTES_PER_S, 'ab')
+        far, started = scene.peers[:DOMAIN_VMS], scene.peers[DOMAIN_VMS:]
+        names = [one.membership.me.address for one in started]
+        started.sort(
+            key=lambda one: rendezvous_rank(
+                'whole-snapshot', one.membership.me.address, names
+            )
+        )
+        started[0].fetcher.fetching = fail_first
+        for one in far:
+            one.view.offer_configuration(make_large_config(1), 1, 'store')
+            one.view.replace_servers({}, Position(1, 1), 'store')
+        scene.join(started)
+        return far, started
+
+    def _whole_sent(self, peers: list[Peer]) -> int:
+        return sum(one.handler.snapshots['whole'] for one in peers)
+
+
 class TestWholeLimit(testtools.TestCase):
     """A VM sends few whole configurations at a time, and all else at once."""
 
