--- a/wagtailfork/fleet/snapshots.py
+++ b/wagtailfork/fleet/snapshots.py
@@ -126,16 +126,18 @@
     return zlib.compress(raw, 1)
 
 
-def unpack(packed: bytes, limit_bytes: int = MAX_SNAPSHOT_BYTES) -> bytes:
+def unpack(packed: bytes, limit_bytes: int | None = None) -> bytes:
     """Decompress a configuration or raise ``frame_malformed``.
 
-    It is malformed if it is cut short or larger than ``limit_bytes``.
+    It is malformed if it is cut short or larger than ``limit_bytes``, by
+    default ``MAX_SNAPSHOT_BYTES``.
 
     >>> unpack(pack(b'abc')), unpack(b'')
     (b'abc', b'')
     """
     if not packed:
         return b''
+    limit_bytes = limit_bytes or MAX_SNAPSHOT_BYTES
     decompressor = zlib.decompressobj()
     try:
         raw = decompressor.decompress(packed, limit_bytes)
