Answer 500, not 400, when an error of ours stops the reading of a request

A caller was told that its request is wrong, and so didn't come again, when one of our callbacks of the parser failed. Cause: every HttpParserError was answered with 400, also the HttpParserCallbackError that wraps our exception.

It is now logged as callback_failed with its cause and answered with 500 behind the responses to the requests before it; the connection is closed.

test_callback_fault_blames_no_caller (a fault in may_overlap behind an open POST) saw the statuses 200, 400 before and sees 200, 500 now. A request whose body was being read when the fault occurred still gets no response, since it may have been passed on.

--- a/wagtailfork/http1/caller.py
+++ b/wagtailfork/http1/caller.py
@@ -28,6 +28,7 @@
 _LARGE_BYTES: Final = 524288
 _LONG_HEAD: Final = 'head too long'
 _LONG_BODY: Final = 'body too long'
+_CALLBACK_FAILED: Final = 'callback_failed'
 _logger = logging.getLogger(__name__)
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _STATUS_LINES: Final = {
@@ -304,21 +305,27 @@
     def _parse(self, piece: bytes) -> None:
         """Parse a piece of one request, or of what precedes it."""
         size = self._framing.take(piece, self._header_limit())
-        try:
-            self._parser.feed_data(piece[:size])
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
-            # The context of an error in a callback is the callback's own.
-            cause = exc.__context__ or exc
-            self._reject(
-                HTTPStatus.BAD_REQUEST, type(cause).__name__, repr(cause)
-            )
+        self._feed(piece[:size])
         if size < len(piece):
             self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, _LONG_HEAD)
         elif self._framing.excessive:
             self._reject(HTTPStatus.BAD_REQUEST, 'framing too long')
 
+    def _feed(self, raw: bytes) -> None:
+        try:
+            self._parser.feed_data(raw)
+        except httptools.HttpParserCallbackError as exc:
+            # The parser sets the exception of a callback as the context.
+            error = repr(exc.__context__)
+            log_warning(_logger, _CALLBACK_FAILED, error=error)
+            self._reject(
+                HTTPStatus.INTERNAL_SERVER_ERROR, _CALLBACK_FAILED, error
+            )
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
+            self._reject(HTTPStatus.BAD_REQUEST, type(exc).__name__, repr(exc))
+
     def _reject(self, status: HTTPStatus, why: str, error: str = '') -> None:
-        """Respond to an invalid request in its turn and close.
+        """Respond to an unreadable request in its turn and close.
 
         One whose head was accepted is left to its handler, which finds the
         body broken.
--- a/wagtailfork/http1/tests/test_caller.py
+++ b/wagtailfork/http1/tests/test_caller.py
@@ -3,9 +3,11 @@
 import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import testtools
 
+from .. import caller
 from ..body import Body, BodyTruncated
 from ..request import CallerRequest, Limits
 from ..server import CallerServer
@@ -34,12 +36,14 @@
 
 
 def run_scenario(
-    scenario: Scenario, handler: Callable[..., Awaitable[None]] = echo
+    scenario: Scenario,
+    handler: Callable[..., Awaitable[None]] = echo,
+    **options: Any,
 ) -> None:
     """Run a scenario on one connection to a new server."""
 
     async def run() -> None:
-        server = CallerServer(handler, lambda: LIMITS)
+        server = CallerServer(handler, lambda: LIMITS, **options)
         await server.listen('127.0.0.1', 0)
         reader, writer = await asyncio.open_connection(
             '127.0.0.1',
@@ -90,6 +94,12 @@
     assert status == 500, status
 
 
+def _fail_in_callback(req: CallerRequest) -> bool:
+    if req.target == b'/bad':
+        raise ValueError('a fault')
+    return False
+
+
 class TestFaults(testtools.TestCase):
     """An unexpected error ends one request alone."""
 
@@ -97,6 +107,27 @@
         """Regression: the caller waited for an answer until it gave up."""
         run_scenario(_expect_failure, _fail)
 
+    def test_callback_fault_blames_no_caller(self) -> None:
+        """Regression: the caller was told 400 for an error of ours."""
+
+        async def scenario(reader: Reader, writer: Writer) -> None:
+            writer.write(
+                b'POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nb'
+                b'GET /bad HTTP/1.1\r\nHost: a\r\n\r\n'
+                b'GET /behind HTTP/1.1\r\nHost: a\r\n\r\n'
+            )
+            statuses = [await read_status(reader) for _ in range(2)]
+            self.assertEqual([200, 500], statuses)
+            self.assertEqual(b'', await _read_rest(reader))
+
+        with self.assertLogs(caller.__name__, 'WARNING') as logged:
+            run_scenario(scenario, may_overlap=_fail_in_callback)
+        expected = {
+            'event': 'callback_failed',
+            'error': "ValueError('a fault')",
+        }
+        self.assertEqual([expected], [record.msg for record in logged.records])
+
 
 class TestLimits(testtools.TestCase):
     """Oversized or slow requests get an error status, then a close."""
