Ignore an upgrade that a caller asks for instead of answering 400

A request with Connection: Upgrade was answered with 400, and what followed it on its connection was not served. A server may ignore the header (RFC 9110, 7.8).

HTTP2-Settings is dropped with the other headers of one connection.

--- /dev/null
+++ b/wagtailfork/gateway/tests/test_uncommon_requests.py
@@ -0,0 +1,57 @@
+"""Proper requests in uncommon writing reach the servers as common ones do."""
+
+import asyncio
+
+import testtools
+
+from ...standin.scripted_backend import ReceivedRequest
+from .rig import HOST, LIMIT_S, Rig, run_scenario
+
+
+async def send_behind_one_another(rig: Rig, *raw: bytes) -> list[int]:
+    """Send requests on one connection; return the statuses."""
+    host, _, port = rig.nodes[0].cfg.caller_address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(b''.join(raw))
+    statuses: list[int] = []
+    async with asyncio.timeout(LIMIT_S):
+        while len(statuses) < len(raw):
+            head = await reader.readuntil(b'\r\n\r\n')
+            statuses.append(int(head.split(b' ')[1]))
+            size = head.lower().split(b'content-length: ')[1].split()[0]
+            await reader.readexactly(int(size))
+    writer.close()
+    return statuses
+
+
+class TestUncommonRequests(testtools.TestCase):
+    """Uncommon requests are routed and forwarded like any other."""
+
+    def _send(self, *raw: bytes) -> list[ReceivedRequest]:
+        """Return what a server received of requests that all succeed."""
+        runs: list[ReceivedRequest] = []
+
+        async def scenario(rig: Rig) -> None:
+            await rig.start(backends=1)
+            statuses = await send_behind_one_another(rig, *raw)
+            self.assertEqual([200 for _ in raw], statuses)
+            runs.extend(rig.backends['b0'].runs)
+
+        run_scenario(scenario)
+        return runs
+
+    def test_upgrade_is_ignored_and_not_forwarded(self) -> None:
+        """Regression: 400 for an upgrade, that a server may ignore."""
+        upgrade = (
+            f'POST /pay/1?a=b HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: r1\r\n'
+            'Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n'
+            'HTTP2-Settings: AAMA\r\nContent-Length: 4\r\n\r\nbody'
+        )
+        behind = f'GET /look/1 HTTP/1.1\r\nHost: {HOST}\r\n\r\n'
+        pay, look = self._send(upgrade.encode(), behind.encode())
+        self.assertEqual(
+            ('POST', '/pay/1?a=b', b'body'), (pay.method, pay.path, pay.body)
+        )
+        self.assertEqual('/look/1', look.path)
+        names = {'upgrade', 'connection', 'http2-settings'}
+        self.assertEqual(set(), names & pay.headers.keys())
--- a/wagtailfork/http1/headers.py
+++ b/wagtailfork/http1/headers.py
@@ -16,6 +16,7 @@
         b'trailer',
         b'transfer-encoding',
         b'upgrade',
+        b'http2-settings',
         b'content-length',
         b'expect',
     )
@@ -35,6 +36,15 @@
     return None
 
 
+def without(headers: Iterable[Header], name: bytes) -> list[Header]:
+    """Return headers without those of a lower-case name.
+
+    >>> without([(b'Host', b'a'), (b'X-A', b'1')], b'host')
+    [(b'X-A', b'1')]
+    """
+    return [pair for pair in headers if pair[0].lower() != name]
+
+
 def end_to_end(
     headers: Iterable[Header], dropped: frozenset[bytes]
 ) -> list[Header]:
