Accept request targets in absolute form

GET http://HOST/path was answered with 404, though servers must accept it (RFC 9112, 3.2.2). Cause: the whole target was taken for the path, and the route was sought by Host alone.

The target is brought into origin form when its head is complete, and its host replaces Host, which counts for nothing beside it; so find_route, the log and the servers see what they see of any other request. Path and query stay byte for byte.

test_target_in_absolute_form (three targets, with a port, capital letters, https, another Host beside them) saw 404 three times before; the server now gets each path, query and host as written.

--- a/wagtailfork/gateway/tests/test_uncommon_requests.py
+++ b/wagtailfork/gateway/tests/test_uncommon_requests.py
@@ -55,3 +55,21 @@
         self.assertEqual('/look/1', look.path)
         names = {'upgrade', 'connection', 'http2-settings'}
         self.assertEqual(set(), names & pay.headers.keys())
+
+    def test_target_in_absolute_form(self) -> None:
+        """Regression: 404, as the target was taken for a path."""
+        upper = f'{HOST.upper()}:80'
+        targets = {
+            f'http://{HOST}/look/1?a=http://b/c': (
+                '/look/1?a=http://b/c',
+                HOST,
+            ),
+            f'HTTP://{upper}/look/': ('/look/', upper),
+            f'https://{HOST}/look/%2f//?': ('/look/%2f//?', HOST),
+        }
+        behind = 'HTTP/1.1\r\nHost: other.example\r\n\r\n'
+        runs = self._send(
+            *(f'GET {target} {behind}'.encode() for target in targets)
+        )
+        found = {(run.path, run.headers['host']) for run in runs}
+        self.assertEqual(set(targets.values()), found)
--- a/wagtailfork/http1/caller.py
+++ b/wagtailfork/http1/caller.py
@@ -166,6 +166,7 @@
             self._reject(HTTPStatus.BAD_REQUEST, 'tunnel')
             return
         req.keep_alive = self._parser.should_keep_alive()
+        req.use_origin_form()
         length = _body_length(req)
         if (length or 0) > self._server.limits().max_body_bytes:
             self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, _LONG_BODY)
--- a/wagtailfork/http1/request.py
+++ b/wagtailfork/http1/request.py
@@ -5,7 +5,8 @@
 import attrs
 
 from .body import Body
-from .headers import Header, header_value, render_chunk
+from .headers import Header, header_value, render_chunk, without
+from .target import split_target
 
 _LAST_CHUNK: Final = b'0\r\n\r\n'
 
@@ -69,6 +70,20 @@
         """Return the first value of a header by its lower-case name."""
         return header_value(self.headers, name)
 
+    def use_origin_form(self) -> None:
+        """Take the host from a target that names it, whatever ``Host`` says.
+
+        >>> req = CallerRequest(None, 0, target=b'http://a/b?c')
+        >>> req.use_origin_form()
+        >>> req.target, req.find(b'host')
+        (b'/b?c', b'a')
+        """
+        host, target = split_target(self.target)
+        if host:
+            self.target = target
+            others = without(self.headers, b'host')
+            self.headers = [(b'Host', host), *others]
+
     def respond(
         self,
         status: int,
