Take white space behind a header's value for none of it

Host: NAME followed by a space or a tab was answered with 404. White space around a value is no part of it (RFC 9112, 5), but the parser leaves out only what comes before it, and find_route compared the rest. Likewise a chunked body broke off if a tab followed its Transfer-Encoding, and a response that echoes its Request-Id with a space behind it was skipped as another request's: the caller got 504.

Values are stripped once, when a head is complete (requests) or a header is read (responses). A head whose coding ends with a tab is parsed again without it.

test_white_space_behind_values saw 404 twice before and test_white_space_behind_an_echoed_id 504; both see 200 now.

--- a/wagtailfork/gateway/tests/test_uncommon_requests.py
+++ b/wagtailfork/gateway/tests/test_uncommon_requests.py
@@ -4,7 +4,14 @@
 
 import testtools
 
-from ...standin.scripted_backend import ReceivedRequest
+from ...standin.scripted_backend import (
+    ReceivedRequest,
+    Script,
+    ScriptedBackend,
+    Writer,
+    render_response,
+    serve_request,
+)
 from .rig import HOST, LIMIT_S, Rig, run_scenario
 
 
@@ -24,15 +31,26 @@
     return statuses
 
 
+async def echo_with_white_space(
+    backend: ScriptedBackend, req: ReceivedRequest, writer: Writer
+) -> None:
+    """Respond with white space behind the id of the request."""
+    backend.runs.append(req)
+    writer.write(render_response(req).replace(b'r1', b'r1 \t'))
+
+
 class TestUncommonRequests(testtools.TestCase):
     """Uncommon requests are routed and forwarded like any other."""
 
-    def _send(self, *raw: bytes) -> list[ReceivedRequest]:
+    def _send(
+        self, *raw: bytes, script: Script = serve_request
+    ) -> list[ReceivedRequest]:
         """Return what a server received of requests that all succeed."""
         runs: list[ReceivedRequest] = []
 
         async def scenario(rig: Rig) -> None:
             await rig.start(backends=1)
+            rig.backends['b0'].script = script
             statuses = await send_behind_one_another(rig, *raw)
             self.assertEqual([200 for _ in raw], statuses)
             runs.extend(rig.backends['b0'].runs)
@@ -73,3 +91,24 @@
         )
         found = {(run.path, run.headers['host']) for run in runs}
         self.assertEqual(set(targets.values()), found)
+
+    def test_white_space_behind_values(self) -> None:
+        """Regression: 404, as the host had spaces behind it."""
+        look, pay = self._send(
+            f'GET /look/1 HTTP/1.1\r\nHost:\t{HOST} \t\r\n\r\n'.encode(),
+            f'POST /pay/1 HTTP/1.1\r\nhOST:{HOST} \r\nRequest-Id: r1\t\r\n'
+            'Transfer-Encoding: Chunked\t\r\n\r\n'
+            '4\r\nbody\r\n0\r\n\r\n'.encode(),
+        )
+        self.assertEqual(
+            [HOST] * 2, [look.headers['host'], pay.headers['host']]
+        )
+        self.assertEqual(('r1', b'body'), (pay.headers['request-id'], pay.body))
+
+    def test_white_space_behind_an_echoed_id(self) -> None:
+        """Regression: the response was taken for that to another request."""
+        self._send(
+            f'GET /look/1 HTTP/1.1\r\nHost: {HOST}\r\n'
+            'Request-Id: r1\r\n\r\n'.encode(),
+            script=echo_with_white_space,
+        )
--- a/wagtailfork/http1/backend.py
+++ b/wagtailfork/http1/backend.py
@@ -9,7 +9,7 @@
 from ..core.clock import now_s
 from .body import Body
 from .carried_ids import CarriedIds
-from .headers import Header, render_chunk
+from .headers import WHITE_SPACE, Header, render_chunk
 from .responses import (
     BackendResponse,
     InvalidStatus,
@@ -236,7 +236,7 @@
         """Store one header."""
         if self._reading_head:
             # A trailer must not pass for a header.
-            self._headers.append((name, value))
+            self._headers.append((name, value.strip(WHITE_SPACE)))
 
     def on_headers_complete(self) -> None:
         """Pass the response to the waiter if it is accepted."""
--- a/wagtailfork/http1/caller.py
+++ b/wagtailfork/http1/caller.py
@@ -13,7 +13,7 @@
 from ..core.clock import now_s
 from ..core.logs import log_event, log_warning
 from .body import Body
-from .headers import Header, render_head, without
+from .headers import Header, render_head, stripped, without
 from .idle_watch import TimeoutMonitor
 from .read_ahead import ReadAhead
 from .request import CallerRequest, Limits
@@ -157,15 +157,14 @@
         if req is None or self._closing:
             return
         req.method = self._parser.get_method()
-        tunnel = req.method == _CONNECT
-        if self._parser.should_upgrade() and not tunnel:
-            # The parser would take the body for another protocol.
+        if self._misreads_body(req):
             raise HeadUnsuitable
         self._reading_head = False
-        if tunnel:
+        if req.method == _CONNECT:
             self._reject(HTTPStatus.BAD_REQUEST, 'tunnel')
             return
         req.keep_alive = self._parser.should_keep_alive()
+        req.headers = stripped(req.headers)
         req.use_origin_form()
         length = _body_length(req)
         if (length or 0) > self._server.limits().max_body_bytes:
@@ -332,18 +331,28 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             self._reject(HTTPStatus.BAD_REQUEST, type(exc).__name__, repr(exc))
 
+    def _misreads_body(self, req: CallerRequest) -> bool:
+        """Return whether the parser takes a body for something else."""
+        if self._parser.should_upgrade():
+            return req.method != _CONNECT
+        # The parser takes a tab for a part of the coding.
+        return any(
+            key.lower() == b'transfer-encoding' and value.endswith(b'\t')
+            for key, value in req.headers
+        )
+
     def _parse_again(self) -> None:
-        """Parse the head of a request without its ``Upgrade`` headers."""
+        """Parse the head of a request in words that the parser knows."""
         req = self._incoming
         if req is None:
             return
         version = self._parser.get_http_version().encode()
         line = b'%b %b HTTP/%b' % (req.method, req.target, version)
-        head = render_head(line, without(req.headers, b'upgrade'))
+        headers = stripped(without(req.headers, b'upgrade'))
         req.target = b''
         req.headers.clear()
         self._parser = httptools.HttpRequestParser(self)
-        self._feed(head)
+        self._feed(render_head(line, headers))
 
     def _reject_failed(self, error: str) -> None:
         """Respond to a request that an error of ours made unreadable."""
--- a/wagtailfork/http1/headers.py
+++ b/wagtailfork/http1/headers.py
@@ -22,6 +22,7 @@
     )
 )
 CRLF: Final = b'\r\n'
+WHITE_SPACE: Final = b' \t'  # around the value of a header
 
 
 def header_value(headers: Iterable[Header], name: bytes) -> bytes | None:
@@ -36,6 +37,15 @@
     return None
 
 
+def stripped(headers: Iterable[Header]) -> list[Header]:
+    """Return headers without white space around their values.
+
+    >>> stripped([(b'Host', b' a ')])
+    [(b'Host', b'a')]
+    """
+    return [(key, value.strip(WHITE_SPACE)) for key, value in headers]
+
+
 def without(headers: Iterable[Header], name: bytes) -> list[Header]:
     """Return headers without those of a lower-case name.
 
