--- a/wagtailfork/http1/caller.py
+++ b/wagtailfork/http1/caller.py
@@ -13,7 +13,7 @@
 from ..core.clock import now_s
 from ..core.logs import log_event, log_warning
 from .body import Body
-from .headers import Header, render_head, stripped, without
+from .headers import WHITE_SPACE, Header, render_head, stripped, without
 from .idle_watch import TimeoutMonitor
 from .read_ahead import ReadAhead
 from .request import CallerRequest, Limits
@@ -335,9 +335,10 @@
         """Return whether the parser takes a body for something else."""
         if self._parser.should_upgrade():
             return req.method != _CONNECT
-        # The parser takes a tab for a part of the coding.
+        # The parser may take white space for a part of the coding.
         return any(
-            key.lower() == b'transfer-encoding' and value.endswith(b'\t')
+            key.lower() == b'transfer-encoding'
+            and value != value.strip(WHITE_SPACE)
             for key, value in req.headers
         )
 
--- a/wagtailfork/http1/tests/test_request_framing.py
+++ b/wagtailfork/http1/tests/test_request_framing.py
@@ -62,12 +62,16 @@
 
     open: asyncio.Event = attrs.field(factory=asyncio.Event)
     transport: Transport = attrs.field(factory=Transport)
+    limits: Limits = LIMITS
     conn: Any = attrs.field(init=False)
     started: list[bytes] = attrs.field(factory=list)
+    served: list[CallerRequest] = attrs.field(factory=list)
 
     def __attrs_post_init__(self) -> None:
         """Connect."""
-        self.conn = CallerConnection(CallerServer(self._serve, lambda: LIMITS))
+        self.conn = CallerConnection(
+            CallerServer(self._serve, lambda: self.limits)
+        )
         self.conn.connection_made(self.transport)
 
     async def receive(self, *pieces: bytes) -> None:
@@ -96,6 +100,7 @@
         if req.body.truncated:
             req.abort()
             return
+        self.served.append(req)
         req.respond(200, [(b'Target', req.target)], req.body.payload())
 
 
@@ -281,6 +286,11 @@
         raw = add_headers(raw, UPGRADES[0])
         self.assertEqual([200, 400], statuses(post(b'/pay', b'p') + raw))
 
+    def test_empty_coding(self) -> None:
+        """It is malformed, and is not parsed again and again."""
+        raw = get(b'/a').replace(b'X:', b'Transfer-Encoding:')
+        self.assertEqual([200, 400], statuses(post(b'/pay', b'p') + raw))
+
     def test_tunnel(self) -> None:
         """A tunnel through the gateway is refused."""
         raw = get(b'a:80').replace(b'GET', b'CONNECT')
