Bound the responses that wait for callers who do not read

Cause: a request was started whenever none of its connection was open, also while the transport said that the caller does not read; a complete response is handed to the transport at once and then counts as done.

Nothing more is started for a caller that does not read while it has over 8 MiB unread, or all such callers of a VM over 32 MiB; above the latter, requests of other connections run one after the other. What was started is still answered whole. A caller that sends nothing and takes no byte for the idle timeout is disconnected (caller_not_reading); before, its responses stayed as long as it was connected. A connection with a waiting request is no longer idle.

Not bounded: one response of up to 512 KB for each connection beyond that, by the number of connections.

--- a/wagtailfork/http1/caller.py
+++ b/wagtailfork/http1/caller.py
@@ -19,6 +19,7 @@
 from .request import CallerRequest, Limits
 from .request_framing import RequestFraming
 from .response_order import ResponseOrder
+from .unread import UnreadResponses, UnreadTotal
 
 _LINGER_S: Final = 1.0  # for a caller to read an early response
 # Unanswered requests before reading is paused. A caller that disconnects is
@@ -52,6 +53,7 @@
     limits: Callable[[], Limits]
     may_overlap: Callable[[CallerRequest], bool]
     read_ahead: ReadAhead
+    unread: UnreadTotal
 
 
 class CallerConnection(asyncio.Protocol):
@@ -76,6 +78,8 @@
         self._reading_head = False
         self._trailer_bytes = 0
         self._timeouts = TimeoutMonitor(self, server.limits)
+        self._unread = UnreadResponses(server.unread)
+        self._written_bytes = 0
         self._drained = asyncio.Event()
         self._drained.set()
 
@@ -105,6 +109,7 @@
         self._closing = True
         self._server.connections.discard(self)
         self._drained.set()
+        self._unread.update(0)
         self._timeouts.stop()
         self._order.cancel_all()
         self._drop_unstarted()
@@ -116,6 +121,7 @@
     def resume_writing(self) -> None:
         """Resume responses."""
         self._drained.set()
+        self._unread.update(0)
         self._start_requests()
 
     # Parser callbacks.
@@ -218,6 +224,28 @@
         alone = self._order.front is None
         return alone or self._order.is_open(self._incoming)
 
+    @property
+    def unread_bytes(self) -> int:
+        """Return what was written and has not been sent."""
+        size: int = self._transport.get_write_buffer_size()
+        return size
+
+    @property
+    def sent_bytes(self) -> int:
+        """Return what has been sent since the start."""
+        return self._written_bytes - self.unread_bytes
+
+    def abort_unread(self) -> None:
+        """Abort the connection of a caller that does not read."""
+        log_event(
+            _logger,
+            'caller_not_reading',
+            unread_bytes=self.unread_bytes,
+            open=len(self._order),
+            waiting=len(self._queue),
+        )
+        self.abort()
+
     def expire(self) -> None:
         """Close an idle connection or reject a stalled request."""
         if self._incoming is None:
@@ -230,7 +258,8 @@
     @property
     def idle(self) -> bool:
         """Return whether no request is incomplete or in progress."""
-        return self._order.front is None and self._incoming is None
+        waiting = self._queue or self._incoming is not None
+        return self._order.front is None and not waiting
 
     @property
     def finished(self) -> bool:
@@ -238,7 +267,7 @@
 
         The transport may hold the end of a response after its handler ended.
         """
-        return self.idle and not self._transport.get_write_buffer_size()
+        return self.idle and not self.unread_bytes
 
     def start_response(
         self,
@@ -303,6 +332,9 @@
 
     def _write(self, raw: bytes) -> None:
         self._transport.write(raw)
+        self._written_bytes += len(raw)
+        if not self._drained.is_set():
+            self._unread.update(self.unread_bytes)
 
     def _header_limit(self) -> int:
         return self._server.limits().max_header_bytes
@@ -429,9 +461,13 @@
         return count > _MAX_PIPELINED or size > _LARGE_BYTES
 
     def _may_start(self, req: CallerRequest) -> bool:
-        if self._order.front is None:
+        alone = self._order.front is None
+        paused = not self._drained.is_set()
+        if self._unread.excessive and (paused or not alone):
+            return False
+        if alone:
             return not self._order.closing
-        if self._server.draining or not self._drained.is_set():
+        if self._server.draining or paused:
             return False
         return self._order.may_overlap(req)
 
@@ -439,7 +475,7 @@
         """Ask for the body of a request, which is the first one by now."""
         expected = (req.find(b'expect') or b'').lower() == b'100-continue'
         if expected and not req.body.complete:
-            self._transport.write(_CONTINUE)
+            self._write(_CONTINUE)
 
     async def _serve(self, req: CallerRequest) -> None:
         try:
--- a/wagtailfork/http1/idle_watch.py
+++ b/wagtailfork/http1/idle_watch.py
@@ -25,6 +25,17 @@
     def idle(self) -> bool:
         """Return whether no request is incomplete or in progress."""
 
+    @property
+    def unread_bytes(self) -> int:
+        """Return what was written and has not been sent."""
+
+    @property
+    def sent_bytes(self) -> int:
+        """Return what has been sent since the start."""
+
+    def abort_unread(self) -> None:
+        """Abort the connection of a caller that does not read."""
+
     def expire(self) -> None:
         """Close an idle connection or reject a stalled request."""
 
@@ -39,6 +50,8 @@
         self._conn = conn
         self._limits = limits
         self._last_activity_s = now_s()
+        self._sent_bytes = 0
+        self._sent_s = now_s()  # when that was seen first
         self._timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
@@ -63,10 +76,23 @@
         return max(MIN_CHECK_DELAY_S, min(left_s, limits.header_timeout_s))
 
     def _check(self) -> None:
+        if self._is_unread():
+            self._conn.abort_unread()
+            return
         if self._is_expired():
             self._conn.expire()
         self.start()
 
+    def _is_unread(self) -> bool:
+        """Return whether the caller has long taken nothing of a response."""
+        sent_bytes = self._conn.sent_bytes
+        if sent_bytes != self._sent_bytes or not self._conn.unread_bytes:
+            self._sent_bytes = sent_bytes
+            self._sent_s = now_s()
+            return False
+        active_s = max(self._sent_s, self._last_activity_s)
+        return now_s() - active_s > self._limits().idle_timeout_s
+
     def _is_expired(self) -> bool:
         limits = self._limits()
         now = now_s()
--- a/wagtailfork/http1/server.py
+++ b/wagtailfork/http1/server.py
@@ -7,6 +7,7 @@
 from .caller import CallerConnection
 from .read_ahead import ReadAhead
 from .request import CallerRequest, Limits
+from .unread import UnreadTotal
 
 Handler = Callable[[CallerRequest], Awaitable[None]]
 
@@ -40,6 +41,7 @@
         self.limits = limits
         self.draining = False
         self.read_ahead = ReadAhead()
+        self.unread = UnreadTotal()
         self.connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
 
