Refuse transfer codings that would be lost on the way

A body sent with Transfer-Encoding: gzip, chunked was passed on without the name of its coding, so the server got bytes that mean something else. One whose last coding isn't chunked was started, and its connection closed without an answer.

The first gets 501 now (RFC 9112, 6.1), the second 400 (6.3), both in their turn; neither is run.

test_other_transfer_coding: behind an open POST, 'gzip, Chunked' was answered 200 before and 'identity' not at all; 'chunked, gzip' was 400 already.

--- a/wagtailfork/http1/caller.py
+++ b/wagtailfork/http1/caller.py
@@ -29,6 +29,7 @@
 _LARGE_BYTES: Final = 524288
 _LONG_HEAD: Final = 'head too long'
 _LONG_BODY: Final = 'body too long'
+_CODING: Final = 'transfer coding'
 _CALLBACK_FAILED: Final = 'callback_failed'
 _CONNECT: Final = b'CONNECT'
 _logger = logging.getLogger(__name__)
@@ -172,6 +173,14 @@
         req.keep_alive = self._parser.should_keep_alive()
         req.headers = stripped(req.headers)
         req.use_origin_form()
+        codings = _transfer_codings(req)
+        if codings and codings[-1] != b'chunked':
+            self._reject(HTTPStatus.BAD_REQUEST, _CODING)
+            return
+        if codings[:-1]:
+            # The body would be forwarded without them.
+            self._reject(HTTPStatus.NOT_IMPLEMENTED, _CODING)
+            return
         length = _body_length(req)
         if (length or 0) > self._server.limits().max_body_bytes:
             self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, _LONG_BODY)
@@ -556,6 +565,16 @@
             self._transport.resume_reading()
 
 
+def _transfer_codings(req: CallerRequest) -> list[bytes]:
+    """Return the transfer codings of a body in the order of their use."""
+    codings: list[bytes] = []
+    for key, value in req.headers:
+        if key.lower() == b'transfer-encoding':
+            parts = value.lower().split(b',')
+            codings.extend(part.strip(WHITE_SPACE) for part in parts)
+    return [coding for coding in codings if coding]
+
+
 def _body_length(req: CallerRequest) -> int | None:
     """Return the length of a body, None if it is chunked."""
     length = req.find(b'content-length')
--- a/wagtailfork/http1/tests/test_request_framing.py
+++ b/wagtailfork/http1/tests/test_request_framing.py
@@ -286,6 +286,15 @@
         raw = add_headers(raw, UPGRADES[0])
         self.assertEqual([200, 400], statuses(post(b'/pay', b'p') + raw))
 
+    def test_other_transfer_coding(self) -> None:
+        """Regression: a body was passed on without the name of its coding."""
+        codings = {'gzip, Chunked': 501, 'identity': 400, 'chunked, gzip': 400}
+        for coding, status in codings.items():
+            raw = post_chunks(b'/a', [b'a'], b't')
+            raw = raw.replace(b'chunked', coding.encode())
+            found = statuses(post(b'/pay', b'p') + raw + get(b'/b'))
+            self.assertEqual([200, status], found, coding)
+
     def test_empty_coding(self) -> None:
         """It is malformed, and is not parsed again and again."""
         raw = get(b'/a').replace(b'X:', b'Transfer-Encoding:')
