--- a/wagtailfork/http1/caller.py
+++ b/wagtailfork/http1/caller.py
@@ -13,12 +13,13 @@
 from ..core.clock import now_s
 from ..core.logs import log_event, log_warning
 from .body import Body
-from .headers import Header, render_head
+from .headers import WHITE_SPACE, Header, render_head, stripped, without
 from .idle_watch import TimeoutMonitor
 from .read_ahead import ReadAhead
 from .request import CallerRequest, Limits
 from .request_framing import RequestFraming
 from .response_order import ResponseOrder
+from .unread import UnreadResponses, UnreadTotal
 
 _LINGER_S: Final = 1.0  # for a caller to read an early response
 # Unanswered requests before reading is paused. A caller that disconnects is
@@ -28,6 +29,9 @@
 _LARGE_BYTES: Final = 524288
 _LONG_HEAD: Final = 'head too long'
 _LONG_BODY: Final = 'body too long'
+_CODING: Final = 'transfer coding'
+_CALLBACK_FAILED: Final = 'callback_failed'
+_CONNECT: Final = b'CONNECT'
 _logger = logging.getLogger(__name__)
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _STATUS_LINES: Final = {
@@ -36,6 +40,10 @@
 }
 
 
+class HeadUnsuitable(Exception):
+    """Report a head that the parser has to see in other words."""
+
+
 class ServerContext(Protocol):
     """Server attributes that a connection uses."""
 
@@ -46,6 +54,7 @@
     limits: Callable[[], Limits]
     may_overlap: Callable[[CallerRequest], bool]
     read_ahead: ReadAhead
+    unread: UnreadTotal
 
 
 class CallerConnection(asyncio.Protocol):
@@ -70,6 +79,8 @@
         self._reading_head = False
         self._trailer_bytes = 0
         self._timeouts = TimeoutMonitor(self, server.limits)
+        self._unread = UnreadResponses(server.unread)
+        self._written_bytes = 0
         self._drained = asyncio.Event()
         self._drained.set()
 
@@ -99,6 +110,7 @@
         self._closing = True
         self._server.connections.discard(self)
         self._drained.set()
+        self._unread.update(0)
         self._timeouts.stop()
         self._order.cancel_all()
         self._drop_unstarted()
@@ -110,13 +122,14 @@
     def resume_writing(self) -> None:
         """Resume responses."""
         self._drained.set()
+        self._unread.update(0)
         self._start_requests()
 
     # Parser callbacks.
 
     def on_message_begin(self) -> None:
         """Start a request."""
-        if not self._reads_requests:
+        if not self._reads_requests or self._incoming is not None:
             return
         self._reading_head = True
         self._trailer_bytes = 0
@@ -150,12 +163,23 @@
         req = self._incoming
         if req is None or self._closing:
             return
-        self._reading_head = False
         req.method = self._parser.get_method()
+        if self._misreads_body(req):
+            raise HeadUnsuitable
+        self._reading_head = False
+        if req.method == _CONNECT:
+            self._reject(HTTPStatus.BAD_REQUEST, 'tunnel')
+            return
         req.keep_alive = self._parser.should_keep_alive()
-        if self._parser.should_upgrade():
-            # The parser takes what follows for another protocol.
-            self._reject(HTTPStatus.BAD_REQUEST, 'upgrade')
+        req.headers = stripped(req.headers)
+        req.use_origin_form()
+        codings = _transfer_codings(req)
+        if codings and codings[-1] != b'chunked':
+            self._reject(HTTPStatus.BAD_REQUEST, _CODING)
+            return
+        if codings[:-1]:
+            # The body would be forwarded without them.
+            self._reject(HTTPStatus.NOT_IMPLEMENTED, _CODING)
             return
         length = _body_length(req)
         if (length or 0) > self._server.limits().max_body_bytes:
@@ -209,6 +233,28 @@
         alone = self._order.front is None
         return alone or self._order.is_open(self._incoming)
 
+    @property
+    def unread_bytes(self) -> int:
+        """Return what was written and has not been sent."""
+        size: int = self._transport.get_write_buffer_size()
+        return size
+
+    @property
+    def sent_bytes(self) -> int:
+        """Return what has been sent since the start."""
+        return self._written_bytes - self.unread_bytes
+
+    def abort_unread(self) -> None:
+        """Abort the connection of a caller that does not read."""
+        log_event(
+            _logger,
+            'caller_not_reading',
+            unread_bytes=self.unread_bytes,
+            open=len(self._order),
+            waiting=len(self._queue),
+        )
+        self.abort()
+
     def expire(self) -> None:
         """Close an idle connection or reject a stalled request."""
         if self._incoming is None:
@@ -221,7 +267,8 @@
     @property
     def idle(self) -> bool:
         """Return whether no request is incomplete or in progress."""
-        return self._order.front is None and self._incoming is None
+        waiting = self._queue or self._incoming is not None
+        return self._order.front is None and not waiting
 
     @property
     def finished(self) -> bool:
@@ -229,7 +276,7 @@
 
         The transport may hold the end of a response after its handler ended.
         """
-        return self.idle and not self._transport.get_write_buffer_size()
+        return self.idle and not self.unread_bytes
 
     def start_response(
         self,
@@ -294,6 +341,9 @@
 
     def _write(self, raw: bytes) -> None:
         self._transport.write(raw)
+        self._written_bytes += len(raw)
+        if not self._drained.is_set():
+            self._unread.update(self.unread_bytes)
 
     def _header_limit(self) -> int:
         return self._server.limits().max_header_bytes
@@ -304,21 +354,55 @@
     def _parse(self, piece: bytes) -> None:
         """Parse a piece of one request, or of what precedes it."""
         size = self._framing.take(piece, self._header_limit())
-        try:
-            self._parser.feed_data(piece[:size])
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
-            # The context of an error in a callback is the callback's own.
-            cause = exc.__context__ or exc
-            self._reject(
-                HTTPStatus.BAD_REQUEST, type(cause).__name__, repr(cause)
-            )
+        self._feed(piece[:size])
         if size < len(piece):
             self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, _LONG_HEAD)
         elif self._framing.excessive:
             self._reject(HTTPStatus.BAD_REQUEST, 'framing too long')
 
+    def _feed(self, raw: bytes) -> None:
+        try:
+            self._parser.feed_data(raw)
+        except httptools.HttpParserCallbackError as exc:
+            # The parser sets the exception of a callback as the context.
+            if isinstance(exc.__context__, HeadUnsuitable):
+                self._parse_again()
+            else:
+                self._reject_failed(repr(exc.__context__))
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
+            self._reject(HTTPStatus.BAD_REQUEST, type(exc).__name__, repr(exc))
+
+    def _misreads_body(self, req: CallerRequest) -> bool:
+        """Return whether the parser takes a body for something else."""
+        if self._parser.should_upgrade():
+            return req.method != _CONNECT
+        # The parser may take white space for a part of the coding.
+        return any(
+            key.lower() == b'transfer-encoding'
+            and value != value.strip(WHITE_SPACE)
+            for key, value in req.headers
+        )
+
+    def _parse_again(self) -> None:
+        """Parse the head of a request in words that the parser knows."""
+        req = self._incoming
+        if req is None:
+            return
+        version = self._parser.get_http_version().encode()
+        line = b'%b %b HTTP/%b' % (req.method, req.target, version)
+        headers = stripped(without(req.headers, b'upgrade'))
+        req.target = b''
+        req.headers.clear()
+        self._parser = httptools.HttpRequestParser(self)
+        self._feed(render_head(line, headers))
+
+    def _reject_failed(self, error: str) -> None:
+        """Respond to a request that an error of ours made unreadable."""
+        log_warning(_logger, _CALLBACK_FAILED, error=error)
+        self._reject(HTTPStatus.INTERNAL_SERVER_ERROR, _CALLBACK_FAILED, error)
+
     def _reject(self, status: HTTPStatus, why: str, error: str = '') -> None:
-        """Respond to an invalid request in its turn and close.
+        """Respond to an unreadable request in its turn and close.
 
         One whose head was accepted is left to its handler, which finds the
         body broken.
@@ -386,9 +470,13 @@
         return count > _MAX_PIPELINED or size > _LARGE_BYTES
 
     def _may_start(self, req: CallerRequest) -> bool:
-        if self._order.front is None:
+        alone = self._order.front is None
+        paused = not self._drained.is_set()
+        if self._unread.excessive and (paused or not alone):
+            return False
+        if alone:
             return not self._order.closing
-        if self._server.draining or not self._drained.is_set():
+        if self._server.draining or paused:
             return False
         return self._order.may_overlap(req)
 
@@ -396,7 +484,7 @@
         """Ask for the body of a request, which is the first one by now."""
         expected = (req.find(b'expect') or b'').lower() == b'100-continue'
         if expected and not req.body.complete:
-            self._transport.write(_CONTINUE)
+            self._write(_CONTINUE)
 
     async def _serve(self, req: CallerRequest) -> None:
         try:
@@ -477,6 +565,16 @@
             self._transport.resume_reading()
 
 
+def _transfer_codings(req: CallerRequest) -> list[bytes]:
+    """Return the transfer codings of a body in the order of their use."""
+    codings: list[bytes] = []
+    for key, value in req.headers:
+        if key.lower() == b'transfer-encoding':
+            parts = value.lower().split(b',')
+            codings.extend(part.strip(WHITE_SPACE) for part in parts)
+    return [coding for coding in codings if coding]
+
+
 def _body_length(req: CallerRequest) -> int | None:
     """Return the length of a body, None if it is chunked."""
     length = req.find(b'content-length')
--- a/wagtailfork/http1/headers.py
+++ b/wagtailfork/http1/headers.py
@@ -16,11 +16,13 @@
         b'trailer',
         b'transfer-encoding',
         b'upgrade',
+        b'http2-settings',
         b'content-length',
         b'expect',
     )
 )
 CRLF: Final = b'\r\n'
+WHITE_SPACE: Final = b' \t'  # around the value of a header
 
 
 def header_value(headers: Iterable[Header], name: bytes) -> bytes | None:
@@ -35,6 +37,24 @@
     return None
 
 
+def stripped(headers: Iterable[Header]) -> list[Header]:
+    """Return headers without white space around their values.
+
+    >>> stripped([(b'Host', b' a ')])
+    [(b'Host', b'a')]
+    """
+    return [(key, value.strip(WHITE_SPACE)) for key, value in headers]
+
+
+def without(headers: Iterable[Header], name: bytes) -> list[Header]:
+    """Return headers without those of a lower-case name.
+
+    >>> without([(b'Host', b'a'), (b'X-A', b'1')], b'host')
+    [(b'X-A', b'1')]
+    """
+    return [pair for pair in headers if pair[0].lower() != name]
+
+
 def end_to_end(
     headers: Iterable[Header], dropped: frozenset[bytes]
 ) -> list[Header]:
