Soak large configurations over a narrow link between the regions

Gateways reach the link by detours in their event loop, as VMs tell each other one address.

DENIED: a 3xx or 4xx but 408, 421 and 429 for a request that each configuration in question allows; nothing excuses it, and it holds in all soaks. UNHEALED: a gateway that doesn't serve the newest route 6.5 s after the links were disturbed last. CrashPlay's single call moved to one_call.py.

--- a/wagtailfork/cli/soak.py
+++ b/wagtailfork/cli/soak.py
@@ -16,6 +16,7 @@
 from ..soak.deployment import Deployment
 from ..soak.disruptions import KINDS
 from ..soak.key_disruptions import CUSTOMER_KINDS
+from ..soak.large_play import LARGE_KINDS
 from ..soak.link_disruptions import LINK_KINDS
 from ..soak.plan import MAX_GATEWAYS, MAX_SECONDS, SoakPlan
 from ..soak.record import Record
@@ -99,6 +100,25 @@
     default=False,
     help='A popular path, one that crashes its servers, crashes of domains.',
 )
+@click.option(
+    '--large/--small',
+    default=False,
+    help='Many routes that change, and a narrow link between the regions.',
+)
+@click.option(
+    '--routes',
+    default=1400,
+    show_default=True,
+    type=click.IntRange(0),
+    help='That stay, with --large.',
+)
+@click.option(
+    '--region-mbps',
+    default=30.0,
+    show_default=True,
+    type=click.FloatRange(0, min_open=True),
+    help='Bandwidth between the regions, each way, with --large.',
+)
 @click.option(
     '--checkout',
     default='',
@@ -124,6 +144,8 @@
         kinds = (*kinds, *CUSTOMER_KINDS)
     if options['crashes']:
         kinds = (*kinds, CRASH_DOMAIN)
+    if options['large']:
+        kinds = (*kinds, *LARGE_KINDS)
     plan = SoakPlan(
         answers=_split(answers, GROUPS, '--answers'),
         disruptions=_split(disruptions, kinds, '--disruptions'),
--- a/wagtailfork/soak/crash_play.py
+++ b/wagtailfork/soak/crash_play.py
@@ -10,10 +10,9 @@
 from ..core.clock import now_s
 from .callers import CONNECT_TIMEOUT_S, connect
 from .excuses import Disruptions
-from .plan import HOST
+from .one_call import ask_once
 from .record import Record, RequestRecord
 from .servers import CRASHING_PATH, SoakServer
-from .wire import read_body, read_head
 
 CRASH_DOMAIN: Final = 'crash_domain'  # a disruption
 POPULAR_PATH: Final = '/look/board'
@@ -32,7 +31,6 @@
 MAX_LATER: Final = 3  # arrivals so long after the third crash
 _THIRD: Final = 3
 _SUCCESS: Final = 200
-_MS: Final = 1000
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -146,22 +144,7 @@
         )
         sent.append(seen)
         self.record.requests[seen.request_id] = seen
-        conn.writer.write(
-            f'GET {path} HTTP/1.1\r\nHost: {HOST}\r\n'
-            f'Request-Id: {seen.request_id}\r\n'
-            f'Request-Deadline-Ms: {round(DEADLINE_S * _MS)}\r\n\r\n'.encode()
-        )
-        try:
-            async with asyncio.timeout(2 * DEADLINE_S):
-                head = await read_head(conn.reader)
-                body = await read_body(conn.reader, head)
-                seen.answered_s = now_s()
-                seen.check_answer(head.status, head.headers, body)
-        except TimeoutError:
-            seen.left = True
-        except (OSError, asyncio.IncompleteReadError):
-            seen.cut_s = now_s()
-        conn.writer.transport.abort()
+        await ask_once(conn, seen, path)
 
     async def _restart(self, server: SoakServer) -> None:
         if not server.up:
--- a/wagtailfork/soak/customer_rules.py
+++ b/wagtailfork/soak/customer_rules.py
@@ -74,7 +74,8 @@
         key = self.customers.keys.get(seen.key)
         if _is_away(seen, run):
             return 'HOME'
-        if seen.kind == PUBLIC_KIND and not run.customer:
+        public = seen.kind == PUBLIC_KIND or seen.route  # those that change
+        if public and not run.customer:
             known = key is not None and _is_known(key, seen)
             return 'TENANT' if calm and known else ''
         if key is None:
--- a/wagtailfork/soak/deployment.py
+++ b/wagtailfork/soak/deployment.py
@@ -4,7 +4,6 @@
 import logging
 import pathlib
 import random
-import signal
 from typing import Final
 
 import attrs
@@ -18,6 +17,7 @@
 from .customer_play import CustomerPlay
 from .disruptions import Disruptor
 from .gateways import GatewayProcess
+from .large_play import LargePlay
 from .link_disruptions import LinkDisruptor
 from .links import Links
 from .operators import Operators
@@ -49,6 +49,7 @@
     links: Links = attrs.field(init=False)
     customer_play: CustomerPlay = attrs.field(init=False)
     crash_play: CrashPlay | None = None
+    large_play: LargePlay = attrs.field(init=False)
     operators: Operators = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -66,6 +67,13 @@
             links=self.links,
             customers=self.customer_play.customers,
         )
+        self.large_play = LargePlay(
+            plan=self.plan,
+            record=self.record,
+            operators=self.operators,
+            gateways=self.gateways,
+            addresses=self._addresses,
+        )
 
     async def run(self) -> Record:
         """Play the plan; return what callers and servers saw."""
@@ -85,6 +93,7 @@
                 server.crash()
             self.links.close()
             self.customer_play.links.close()
+            self.large_play.links.close()
             await asyncio.sleep(END_S)
             store_task.cancel()
         return self.record
@@ -108,7 +117,9 @@
             )
             self.gateways.append(gateway)
             await self.links.open(gateway.address)
-            gateway.start()
+        await self.large_play.connect_regions()
+        for starting in self.gateways:
+            starting.start()
         async with asyncio.timeout(START_LIMIT_S):
             for started in self.gateways:
                 await started.wait_ready(START_LIMIT_S)
@@ -149,10 +160,15 @@
         if self.plan.crashes:
             self.crash_play = self._make_crash_play(rng)
             tasks.append(asyncio.create_task(self.crash_play.run(until_s)))
+        tasks.append(asyncio.create_task(self.large_play.run(until_s)))
         others = []
         if self.plan.disrupted:
             disruptor = self._make_disruptor(rng)
-            others.append(asyncio.create_task(disruptor.run(until_s)))
+            others.append(
+                asyncio.create_task(
+                    disruptor.run(until_s - self.large_play.quiet_s)
+                )
+            )
         stale = self._make_stale_entries(rng)
         others.append(asyncio.create_task(stale.run(until_s)))
         tasks.extend(
@@ -164,7 +180,7 @@
         await asyncio.sleep(self.plan.seconds)
         await _end_tasks(tasks, others)
         for gateway in self.gateways:
-            gateway.send_signal(signal.SIGCONT)
+            gateway.resume()
         await asyncio.sleep(SETTLE_S)
         watch.stop(self.record)
         self._record_processes()
@@ -235,6 +251,7 @@
             more_kinds={
                 **link_disruptor.kinds(),
                 **(self.crash_play.kinds() if self.crash_play else {}),
+                **self.large_play.kinds(),
                 **self.customer_play.kinds(
                     self.gateways, self.operators, busy, held
                 ),
--- a/wagtailfork/soak/gateways.py
+++ b/wagtailfork/soak/gateways.py
@@ -25,6 +25,7 @@
 RETRIES: Final = {'ratio': 0.2, 'slack': 56, 'window_s': 10}
 _ENDING: Final = frozenset((signal.SIGTERM, signal.SIGKILL))
 _LOG_LINES_PER_S: Final = 2000
+_DETOURS: Final = pathlib.Path(__file__).with_name('detours.py')
 
 
 def _address() -> str:
@@ -41,6 +42,8 @@
     folder: pathlib.Path
     checkout: str = ''
     revocation_limit_ms: float | None = None
+    # Addresses that it reaches by way of others.
+    detours: dict[str, str] = attrs.field(factory=dict)
     address: str = attrs.field(factory=_address)
     ready_address: str = attrs.field(factory=_address)
     directory_address: str = attrs.field(factory=_address)
@@ -69,8 +72,7 @@
                 [
                     sys.executable,
                     '-P',
-                    '-m',
-                    'wagtailfork',
+                    *self._program(),
                     'gateway',
                     '--settings',
                     str(settings),
@@ -127,6 +129,10 @@
                 self.disruptions.stops.append(now_s())
             self._process.send_signal(signum)
 
+    def resume(self) -> None:
+        """Let a frozen process run again."""
+        self.send_signal(signal.SIGCONT)
+
     def end(self) -> None:
         """Kill the process."""
         if self._process is not None and self.running:
@@ -141,6 +147,13 @@
             await asyncio.sleep(POLL_S)
         return not self.running
 
+    def _program(self) -> list[str]:
+        if not self.detours:
+            return ['-m', 'wagtailfork']
+        path = self.folder / f'{self.vm}.detours.json'
+        path.write_text(json.dumps(self.detours))
+        return [str(_DETOURS), str(path)]
+
     def _settings(self) -> dict[str, Any]:
         limit_ms = self.revocation_limit_ms
         optional = {'revocation_limit_ms': limit_ms} if limit_ms else {}
--- a/wagtailfork/soak/operators.py
+++ b/wagtailfork/soak/operators.py
@@ -9,6 +9,7 @@
 from ..standin.documents import describe_route
 from ..standin.keyed_store import KeyedStoreStandin
 from .customers import HOME, HOMED_KIND, PUBLIC_KIND, Customers
+from .extra_routes import ExtraRoutes
 from .links import Links
 from .plan import CONFIG_TOPIC, PAYMENT_SERVICES, SERVICES
 from .timed_rules import TimedRules
@@ -31,6 +32,7 @@
     rules: TimedRules
     links: Links
     customers: Customers | None
+    routes: ExtraRoutes | None = None
     _version: int = 0
 
     def put_entry(self, name: str, entry: dict[str, object]) -> None:
@@ -62,6 +64,7 @@
                 'stock': self._describe_route('look', 'stock'),
                 'pay': self._describe_route('pay', payments),
                 'snap': self._describe_route('snap', 'snap'),
+                **self._describe_extra_routes(),
             },
             'services': {
                 service: {'healthPath': '/health', 'maxConns': 900}
@@ -74,6 +77,12 @@
         raw = json.dumps(document).encode()
         self.store.put(CONFIG_TOPIC, 'config', raw)
 
+    def _describe_extra_routes(self) -> dict[str, Any]:
+        if self.routes is None:
+            return {}
+        keyed = self.customers is not None
+        return self.routes.describe(**({'public': True} if keyed else {}))
+
     def _describe_route(self, kind: str, service: str) -> dict[str, Any]:
         access = {} if self.customers is None else _ACCESS.get(kind, {})
         return describe_route(
--- a/wagtailfork/soak/plan.py
+++ b/wagtailfork/soak/plan.py
@@ -14,6 +14,7 @@
 PAYMENT_SERVICES: Final = ('pay', 'spare')
 HOST: Final = 'shop.example'
 CONFIG_TOPIC: Final = 'keyed.op'
+CONFIG_APPLY_S: Final = 2.5  # after a configuration was acknowledged
 
 
 @attrs.frozen(kw_only=True)
@@ -51,6 +52,13 @@
     # Whether callers ask for one path that is popular, and for one that crashes
     # its servers; domains crash too.
     crashes: bool = False
+    # Whether the configuration has many routes, of which some change, and the
+    # regions share a narrow link.
+    large: bool = False
+    routes: int = attrs.field(default=1400, validator=attrs.validators.ge(0))
+    region_mbps: float = attrs.field(
+        default=30, validator=attrs.validators.gt(0)
+    )
     checkout: str = ''  # of the build to run; empty: the installed one
 
     @property
--- a/wagtailfork/soak/record.py
+++ b/wagtailfork/soak/record.py
@@ -37,6 +37,7 @@
     sent_s: float
     deadline_s: float
     key: str = ''  # that the caller sent
+    route: str = ''  # if it is one of those that change
     arrivals: list[Visit] = attrs.field(factory=list)
     runs: list[Visit] = attrs.field(factory=list)
     # Whole bodies of the successes that servers sent.
--- a/wagtailfork/soak/timed_rules.py
+++ b/wagtailfork/soak/timed_rules.py
@@ -8,10 +8,11 @@
 from .customer_rules import CustomerRules
 from .evacuations import Evacuations
 from .excuses import Disruptions, is_lost
+from .plan import CONFIG_APPLY_S
 from .record import RequestRecord, Visit
+from .route_rules import RouteRules
 
 DRAIN_S: Final = 2.5  # after a server said that it leaves
-CONFIG_APPLY_S: Final = 2.5  # after a configuration was acknowledged
 
 
 @attrs.define(eq=False)
@@ -25,6 +26,7 @@
     versions: list[tuple[float, str]] = attrs.field(factory=list)
     customers: CustomerRules | None = None
     evacuations: Evacuations = attrs.field(factory=Evacuations)
+    routes: RouteRules = attrs.field(factory=RouteRules)
     judged: int = 0  # requests whose gateway was in touch
 
     def judge(
@@ -40,9 +42,14 @@
                 found.append((rule, seen))
         if self.customers is not None:
             found.extend(self.customers.over_quota(requests.values()))
+        found.extend(
+            self.routes.find_unhealed(requests.values(), gateways, self.store)
+        )
         return found
 
     def _broken_rule(self, seen: RequestRecord, gateway: Disruptions) -> str:
+        if self.routes.is_denied(seen):
+            return 'DENIED'
         if is_lost(seen, gateway) and not self._is_held_up(
             seen.arrivals, seen.sent_s, seen.cut_s
         ):
@@ -103,9 +110,9 @@
         >>> rules._is_served_by(seen, Visit(1, 'b0', 'stock'))
         False
         """
-        if seen.kind == 'pay':
-            return run.service in {service for _, service in self.versions}
-        return run.service == SERVICE_BY_KIND[seen.kind]
+        if seen.kind in SERVICE_BY_KIND:
+            return run.service == SERVICE_BY_KIND[seen.kind]
+        return run.service in {service for _, service in self._versions(seen)}
 
     def _is_outdated(self, seen: RequestRecord, run: Visit) -> bool:
         """Return whether only an older configuration allows the run.
@@ -117,16 +124,20 @@
         >>> rules._is_outdated(seen, Visit(12.7, 'b0', 'spare'))
         False
         """
-        if seen.kind != 'pay':
+        if seen.kind in SERVICE_BY_KIND:
             return False
         allowed = set()
-        for at_s, service in self.versions:
+        for at_s, service in self._versions(seen):
             if at_s <= seen.sent_s - CONFIG_APPLY_S:
                 allowed = {service}
             elif at_s <= run.at_s:
                 allowed.add(service)
         return run.service not in allowed
 
+    def _versions(self, seen: RequestRecord) -> list[tuple[float, str]]:
+        route = self.routes.routes.get(seen.route)
+        return self.versions if route is None else route.versions
+
 
 SERVICE_BY_KIND: Final = {'look': 'stock', 'snap': 'snap'}
 
