Skip records that retention removed before any VM read them

test_retention_passes_during_an_outage failed now and then: new VMs never served. Cause: a record appended just before the outage was trimmed before it was read. All VMs were in a gap for good from then on, new VMs could restore nothing, and tickets got 503.

While a listed VM cannot be asked, the gap stays.

--- a/wagtailfork/control/follower.py
+++ b/wagtailfork/control/follower.py
@@ -60,6 +60,19 @@
         """Return whether the state, read or adopted, reached the log's end."""
         return self._caught_up and self.reader.state is not None
 
+    @property
+    def in_gap(self) -> bool:
+        """Return whether records after the state are missing from the log."""
+        if self.reader.state is None:
+            return self.reader.in_gap
+        return self.first_retained() > self.state.offset + 1
+
+    def first_retained(self) -> int:
+        """Return the offset of the first record to fold after a gap."""
+        if self._earliest > self.reader.next_offset():
+            return self._earliest
+        return self.reader.next_to_fold()
+
     def log_status(self) -> LogStatus:
         """Return the log's range and last snapshot as last read."""
         return LogStatus(
@@ -141,7 +154,7 @@
             folds.update(self.reader.push(entry))
             self._update_last_snapshot(entry)
             self._resolve_watched(entry.offset, entry.record, folds)
-        if self.reader.next_offset() >= page.next and not self.reader.in_gap:
+        if self.reader.next_offset() >= page.next and not self.in_gap:
             self.read_at = time.monotonic()
             newly_caught_up = not self._caught_up
             self._caught_up = True
--- a/wagtailfork/control/snapshots.py
+++ b/wagtailfork/control/snapshots.py
@@ -143,6 +143,12 @@
             return self._buffered[-1].offset + 1
         return 0 if self.state is None else self.state.offset + 1
 
+    def next_to_fold(self) -> int:
+        """Return the offset of the first buffered record, or of the next."""
+        if self._buffered:
+            return self._buffered[0].offset
+        return self.next_offset()
+
     def push(self, entry: LogRecord) -> Mapping[int, FoldResult]:
         """Add the next record; return the results of folding, by offset."""
         if self.state is None and entry.offset == 0:
--- a/wagtailfork/control/snapshotter.py
+++ b/wagtailfork/control/snapshotter.py
@@ -76,7 +76,7 @@
 
     def _should_append(self) -> bool:
         follower = self._follower
-        if not follower.ready or follower.reader.in_gap:
+        if not follower.ready or follower.in_gap:
             return False
         if not is_snapshot_due(self._plan, follower.log_status(), time.time()):
             return False
--- a/wagtailfork/node/bootstrap.py
+++ b/wagtailfork/node/bootstrap.py
@@ -51,7 +51,7 @@
             return False
 
     def _needs_state(self) -> bool:
-        if not self._follower.ready or self._follower.reader.in_gap:
+        if not self._follower.ready or self._follower.in_gap:
             return True
         return self._follower.age_s() > _MAX_LOG_AGE_S
 
--- a/wagtailfork/node/dump.py
+++ b/wagtailfork/node/dump.py
@@ -72,7 +72,7 @@
     vm_list_age_s = time.monotonic() - node.vm_list.read_at
     return {
         'ready': follower.ready,
-        'in_gap': follower.reader.in_gap,
+        'in_gap': follower.in_gap,
         'offset': follower.state.offset,
         'age_s': _rounded(age_s),
         'vm_list_age_s': _rounded(vm_list_age_s),
--- a/wagtailfork/node/entry.py
+++ b/wagtailfork/node/entry.py
@@ -35,6 +35,7 @@
 from .bootstrap import Bootstrap
 from .crash_reports import CrashReportBroadcaster
 from .directory import AdvertisedEntry, fill_key_prefixes
+from .gap_skipper import GapSkipper
 from .handlers import handle
 from .lending import SlotLending
 from .vm_list import LIVE, ListedVm, VmListFollower, VmListing
@@ -159,6 +160,14 @@
             timing.peer_down_s,
         )
         self.bootstrap = Bootstrap(self.follower, self.mesh)
+        self.gap_skipper = GapSkipper(
+            cfg.vm,
+            self.follower,
+            self.publisher,
+            self.mesh,
+            self.vm_list,
+            timing.log_poll_s + timing.log_timeout_s + 2 * timing.peer_down_s,
+        )
 
     def _build_claims(self) -> None:
         cfg = self.cfg
@@ -245,6 +254,7 @@
         control.add('follower', self.follower.run)
         control.add('snapshotter', self.snapshotter.run)
         control.add('bootstrap', self.bootstrap.run)
+        control.add('gap_skipper', self.gap_skipper.run)
         peers = Supervisor('peers')
         peers.add('vm_list', self.vm_list.run)
         peers.add('server', self._serve_peers)
--- a/wagtailfork/tests/test_outage.py
+++ b/wagtailfork/tests/test_outage.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import functools
 
 import testtools
 
@@ -33,6 +34,10 @@
         """Regression: no VM replaced a snapshot removed by retention."""
         asyncio.run(self._check_retention())
 
+    def test_retention_takes_a_record_that_no_vm_read(self) -> None:
+        """Regression: all VMs waited forever for a record that was removed."""
+        asyncio.run(self._check_unread_record())
+
     def test_outage_outlasts_ranges_and_keys(self) -> None:
         """Regression: ranges expired while no new one could be appended."""
         asyncio.run(self._check_long_outage())
@@ -53,6 +58,29 @@
                 lambda: is_served_everywhere(rig, rig.entries, 'kept')
             )
 
+    async def _check_unread_record(self) -> None:
+        async with Rig() as rig:
+            self.assertEqual(
+                200, (await rig.submit(customer_ticket(2, 'kept')))[0]
+            )
+            rig.log_relay.cut()
+            stream = f'{HOST}:{rig.log_port}/streams/control/records'
+            await rig.post(stream, {'id': 'x', 'kind': 'noise', 'body': {}})
+            trim_url = f'{HOST}:{rig.log_port}/trim/control'
+            await rig.post(trim_url, {'keep': 0})
+            rig.log_relay.restore()
+            await wait_until(lambda: _has_snapshot(rig))
+            self.assertEqual(
+                200, (await rig.submit(customer_ticket(3, 'late')))[0]
+            )
+            await _kill_and_replace_all(rig)
+            for name in ('kept', 'late'):
+                await wait_until(
+                    functools.partial(
+                        is_served_everywhere, rig, rig.entries, name
+                    )
+                )
+
     async def _check_long_outage(self) -> None:
         timing = {**FAST_TIMING, 'range_lifetime_s': 3.0, 'key_slot_s': 0.5}
         async with Rig(timing=timing) as rig:
