--- a/wagtailfork/gateway/tests/test_early_signals.py
+++ b/wagtailfork/gateway/tests/test_early_signals.py
@@ -7,7 +7,8 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable
+import tomllib
+from collections.abc import Callable, Sequence
 from typing import Final
 
 import testtools
@@ -18,6 +19,7 @@
 RUN_S: Final = 1.5
 GRACE_S: Final = 5.0
 STEP_S: Final = 0.005
+PROJECT: Final = pathlib.Path(__file__).parents[3] / 'pyproject.toml'
 ADDRESSES: Final = (
     'caller_address',
     'ready_address',
@@ -46,19 +48,37 @@
             with self.subTest(delay_s):
                 self.assertIsNone(_exit_status(delay_s, _wait_blocked))
 
+    def test_reload_during_the_start_of_the_script(self) -> None:
+        """Regression: only ``python -m wagtailfork`` blocked the signal."""
+        entry = _console_entry()
+        for delay_s in DELAYS_S:
+            with self.subTest(delay_s):
+                status = _exit_status(delay_s, _wait_blocked, entry)
+                self.assertIsNone(status)
+
 
 def _no_wait(_pid: int) -> None:
     """Count the delay from the start of the process."""
 
 
+def _console_entry() -> list[str]:
+    """Return the command that the installed script runs."""
+    project = tomllib.loads(PROJECT.read_text())['project']
+    module, _, name = project['scripts']['wagtailfork'].partition(':')
+    script = f'import re, sys; from {module} import {name}; sys.exit({name}())'
+    return ['-c', script]
+
+
 def _exit_status(
-    delay_s: float, wait: Callable[[int], None] = _no_wait
+    delay_s: float,
+    wait: Callable[[int], None] = _no_wait,
+    entry: Sequence[str] = ('-m', 'wagtailfork'),
 ) -> int | None:
     """Start a gateway, ask it to reload; return its status if it ended."""
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / 'settings.json'
         path.write_text(json.dumps(_settings()))
-        command = [sys.executable, '-m', 'wagtailfork', 'gateway']
+        command = [sys.executable, *entry, 'gateway']
         process = subprocess.Popen(  # noqa: S603
             [*command, '--settings', str(path)], stdout=subprocess.DEVNULL
         )
