Suspend polls during a load, and claim also where the servers don't answer

The limit of a poll is the watch's alone: wait and 1.2 s for its own answer, shifted by the time in which others arrive. A claim shows at once, also while the servers fail; only a reader that has just lost the store goes on without one. Progress of a caller counts what has left the kernel. Reads that bring only what is skipped are paced like others.

test_slow_caller_of_a_large_response failed before. test_long_load_ends_no_other_poll passed before too: on a fair link the polls' answers come through.

--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -431,8 +431,13 @@
         return self.source.usage.fastest_s
 
     def _announce_reading(self) -> None:
-        """Tell the neighbours at once whether this VM reads the store."""
-        if self.source.reads_store != self.membership.me.reads_store:
+        """Tell the neighbours at once that this VM reads, or got ready.
+
+        Until its own row says that it is ready, it coordinates no service.
+        """
+        me = self.membership.me
+        told = (me.reads_store, me.ready)
+        if told != (self.source.reads_store, self.is_ready()):
             self.link.heartbeats.announce()
 
     def _store_era(self) -> int:
--- a/wagtailfork/gateway/poll_watch.py
+++ b/wagtailfork/gateway/poll_watch.py
@@ -14,6 +14,28 @@
 RESPONSE_LIMIT_S: Final = 0.5
 
 
+_READ_LIMIT_S: Final = 0.8  # of a read that does not wait for records
+# Added to the wait of a poll, for its own answer to begin.
+_GRACE_S: Final = 1.2
+
+
+@attrs.define(eq=False)
+class _Limit:
+    timeout: asyncio.Timeout
+    limit_s: float  # without any answer
+    due_s: float  # by which its own answer is due
+
+    def restart(self, now: float) -> None:
+        """Count the time without any answer from now."""
+        if not self.timeout.expired():
+            self.timeout.reschedule(min(now + self.limit_s, self.due_s))
+
+    def suspend(self) -> None:
+        """Let no time count."""
+        if not self.timeout.expired():
+            self.timeout.reschedule(None)
+
+
 @attrs.define(eq=False)
 class PollWatch:
     """Alternate the long polls of several topics and limit their silence.
@@ -30,14 +52,19 @@
     # phase end their polls at other times, so that one of them has read lately.
     phase: float = 0
     _ends_at_s: dict[str, float] = attrs.field(factory=dict)
-    _limits: dict[str, asyncio.Timeout] = attrs.field(factory=dict)
+    _limits: dict[str, '_Limit'] = attrs.field(factory=dict)
     _arriving: set[str] = attrs.field(factory=set)  # topics of answers
+    _suspended_at_s: float = 0  # since when any answer arrives
 
     @property
     def silence_limit_s(self) -> float:
         """Return the time without any answer after which polls fail."""
         return self.wait_s / 2 + self.settle_s + RESPONSE_LIMIT_S
 
+    def limit_of(self, wait_s: float) -> float:
+        """Return the time without any answer after which a read fails."""
+        return self.silence_limit_s if wait_s else _READ_LIMIT_S
+
     def next_wait_s(self, topic: str) -> float:
         """Return the wait of the next poll of a topic."""
         now = now_s()
@@ -59,16 +86,20 @@
         Yield a function to call when an answer begins to arrive: the limit is
         on silence, and a long answer may take longer.
         """
-        async with asyncio.timeout(self._limit_s()) as timeout:
+        limit_s = self.limit_of(wait_s)
+        due_s = _loop_s() + wait_s + _GRACE_S
+        async with asyncio.timeout(
+            None if self._arriving else limit_s
+        ) as timeout:
             self._ends_at_s[topic] = now_s() + wait_s
-            self._limits[topic] = timeout
+            self._limits[topic] = _Limit(timeout, limit_s, due_s)
             try:
                 with self.receive(topic) as record_answer:
                     yield record_answer
             finally:
                 self._ends_at_s.pop(topic)
                 self._limits.pop(topic, None)
-        self._extend_limits()
+        self._restart_limits()
 
     @contextlib.contextmanager
     def receive(self, topic: str) -> Iterator[Callable[[], None]]:
@@ -81,25 +112,34 @@
             yield functools.partial(self._begin_answer, topic)
         finally:
             if topic in self._arriving:
-                self._arriving.remove(topic)
-                self._extend_limits()
+                self._end_answer(topic)
 
     def _begin_answer(self, topic: str) -> None:
         own = self._limits.pop(topic, None)
         if own is not None:
-            own.reschedule(None)
+            own.suspend()
+        if not self._arriving:
+            self._suspended_at_s = _loop_s()
         self._arriving.add(topic)
-        self._extend_limits()
+        self._restart_limits()
+
+    def _end_answer(self, topic: str) -> None:
+        self._arriving.remove(topic)
+        if not self._arriving:
+            for one in self._limits.values():
+                one.due_s += _loop_s() - self._suspended_at_s
+        self._restart_limits()
+
+    def _restart_limits(self) -> None:
+        for one in self._limits.values():
+            if self._arriving:
+                one.suspend()
+            else:
+                one.restart(_loop_s())
 
-    def _limit_s(self) -> float | None:
-        return None if self._arriving else self.silence_limit_s
 
-    def _extend_limits(self) -> None:
-        limit_s = self._limit_s()
-        now = asyncio.get_running_loop().time()
-        for timeout in self._limits.values():
-            if not timeout.expired():
-                timeout.reschedule(None if limit_s is None else now + limit_s)
+def _loop_s() -> float:
+    return asyncio.get_running_loop().time()
 
 
 def phase_of(failure_domain: str, domains: Iterable[str]) -> float:
--- a/wagtailfork/gateway/tests/test_late_configuration.py
+++ b/wagtailfork/gateway/tests/test_late_configuration.py
@@ -323,3 +323,19 @@
             rig.store.put(CONFIG_TOPIC, 'config', make_config(2))
             async with asyncio.timeout(APPLY_LIMIT_S):
                 await rig.until(lambda: rig.nodes[0].view.version == 2)
+
+    def test_long_load_ends_no_other_poll(self) -> None:
+        """Guards against a reader that gives up one topic for the other."""
+        run_behind_link(self._load_beside_poll, vms=1)
+
+    async def _load_beside_poll(self, rig: Rig, link: Relay) -> None:
+        link.bytes_per_s = BYTES_PER_S / 2
+        node = rig.nodes[0]
+        rig.store.put(CONFIG_TOPIC, 'config', make_large_config(2))
+        await asyncio.sleep(0.5)
+        reading = []
+        async with asyncio.timeout(LIMIT_S):
+            while node.view.version < 2:
+                reading.append(node.source.reads_store)
+                await asyncio.sleep(0.05)
+        self.assertEqual({True}, set(reading))
--- a/wagtailfork/gateway/topic_load.py
+++ b/wagtailfork/gateway/topic_load.py
@@ -38,12 +38,20 @@
     loading_since_s: float | None = None
     loading: Body | None = None  # what has arrived
     waiting_since_s: float | None = None  # for the other topic
+    claimed: bool = False  # the load, before an answer began to arrive
+    # Whether the last read failed at a reader, which other VMs wait for.
+    just_lost: bool = False
 
     @property
     def is_read(self) -> bool:
         """Return whether other VMs need not read the topic."""
+        return self.ok if self.loading_since_s is None else self.loads
+
+    @property
+    def loads(self) -> bool:
+        """Return whether a load is claimed, or goes on fast enough."""
         if self.loading_since_s is None:
-            return self.ok
+            return False
         spent_s = now_s() - self.loading_since_s
         received = self.loading.size if self.loading else 0
         in_time = spent_s < _LOAD_LEASE_S
@@ -59,6 +67,7 @@
         if not self.ok:
             log_event(_logger, 'store_reached', topic=self.name)
         self.ok = True
+        self.just_lost = False
         self.failures = 0
         self.read_at_s = now_s()
         self._end_load()
@@ -73,6 +82,7 @@
                 read_age_s=round(now_s() - self.read_at_s, 3),
                 error=error,
             )
+        self.just_lost = self.ok
         self.ok = False
         self.failures += 1
         self._end_load()
@@ -80,6 +90,7 @@
     def record_pause(self) -> None:
         """Record that this VM does not follow the topic."""
         self.ok = False
+        self.just_lost = False
         self.failures = 0
         self._end_load()
 
@@ -91,6 +102,7 @@
         self.loading_since_s = None
         self.loading = None
         self.waiting_since_s = None
+        self.claimed = False
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -120,20 +132,18 @@
             return await self._may_start()
         now = now_s()
         status.waiting_since_s = status.waiting_since_s or now
-        if self.probe.ok:
-            return bool(status.failures) or await self._claim()
-        if now - status.waiting_since_s > _MAX_WAIT_S:
-            return True
+        if self.probe.ok or now - status.waiting_since_s > _MAX_WAIT_S:
+            return status.just_lost or await self._claim()
         await asyncio.sleep(_CHECK_S)
         return False
 
     async def _may_start(self) -> bool:
         """Return whether a VM loads that serves nothing before."""
-        near = self.store_call_s() < FAR_STORE_S
-        return near or bool(self.status.failures) or await self._claim()
+        return self.store_call_s() < FAR_STORE_S or await self._claim()
 
     async def _claim(self) -> bool:
         self.status.record_load()
+        self.status.claimed = True
         self.announce()
         await asyncio.sleep(_CLAIM_S)
         return False
--- a/wagtailfork/http1/caller.py
+++ b/wagtailfork/http1/caller.py
@@ -19,7 +19,7 @@
 from .request import CallerRequest, Limits
 from .request_framing import RequestFraming
 from .response_order import ResponseOrder
-from .unread import UnreadResponses, UnreadTotal
+from .unread import UnreadResponses, UnreadTotal, kernel_queue_bytes
 
 _LINGER_S: Final = 1.0  # for a caller to read an early response
 # Unanswered requests before reading is paused. A caller that disconnects is
@@ -241,8 +241,9 @@
 
     @property
     def sent_bytes(self) -> int:
-        """Return what has been sent since the start."""
-        return self._written_bytes - self.unread_bytes
+        """Return what the caller's side has taken since the start."""
+        waiting = self.unread_bytes + kernel_queue_bytes(self._transport)
+        return self._written_bytes - waiting
 
     def abort_unread(self) -> None:
         """Abort the connection of a caller that does not read."""
--- a/wagtailfork/http1/tests/test_unread_responses.py
+++ b/wagtailfork/http1/tests/test_unread_responses.py
@@ -1,6 +1,7 @@
 """Responses that their caller does not read take little memory."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import Final
 
@@ -21,7 +22,9 @@
 RESPONSE_SIZE: Final = RESPONSE_BYTES + 100  # with its head
 CALLERS: Final = 8
 IDLE_S: Final = 1.0
-READS: Final = 4
+READS: Final = 6
+SLOW_BYTES: Final = 65536
+LARGER_BYTES: Final = 33554432
 
 
 @attrs.define(eq=False)
@@ -31,6 +34,9 @@
     unread: int = 0
     pause: Callable[[], None] = attrs.field(default=lambda: None)
 
+    def get_extra_info(self, _name: str) -> None:
+        """Return nothing, as there is no socket."""
+
     def write(self, raw: bytes) -> None:
         """Append bytes; pause the connection above the high-water mark."""
         super().write(raw)
@@ -43,6 +49,11 @@
         return self.unread
 
 
+async def send_larger(req: CallerRequest) -> None:
+    """Respond with more than the kernel holds."""
+    req.respond(200, [], bytes(LARGER_BYTES))
+
+
 async def send_large(req: CallerRequest) -> None:
     """Respond as the gateway does."""
     await req.wait_to_respond(RESPONSE_BYTES)
@@ -162,3 +173,27 @@
             caller.transport.unread -= size
         caller.conn.connection_lost(None)
         return caller.transport.ended
+
+    def test_slow_caller_of_a_large_response(self) -> None:
+        """Regression: a caller was cut while the kernel's buffer emptied."""
+        self.assertTrue(asyncio.run(self._read_from_kernel()))
+
+    async def _read_from_kernel(self) -> bool:
+        """Read slowly from a socket; return whether it stays open."""
+        limits = Limits(idle_timeout_s=IDLE_S)
+        server = CallerServer(send_larger, lambda: limits)
+        await server.listen('127.0.0.1', 0)
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BYTES)
+        sock.connect(('127.0.0.1', server.port()))
+        reader, writer = await asyncio.open_connection(
+            sock=sock, limit=SLOW_BYTES
+        )
+        writer.write(get(b'/'))
+        pieces = []
+        for _ in range(READS):
+            await asyncio.sleep(IDLE_S / 2)
+            pieces.append(await reader.readexactly(SLOW_BYTES))
+        writer.close()
+        server.stop_listening()
+        return len(pieces) == READS and len(server.connections) == 1
--- a/wagtailfork/http1/unread.py
+++ b/wagtailfork/http1/unread.py
@@ -1,14 +1,35 @@
 """Memory that responses take until their callers read them."""
 
-from typing import Final
+import fcntl
+import struct
+import termios
+from typing import Any, Final
 
 import attrs
 
+_INT: Final = struct.Struct('i')
 # Of a connection whose caller does not read; above it, nothing is started.
 UNREAD_LIMIT_BYTES: Final = 8388608
 SHARED_LIMIT_BYTES: Final = 33554432  # of all such connections
 
 
+def kernel_queue_bytes(transport: Any) -> int:
+    """Return what the kernel has of a transport and nobody has taken.
+
+    The kernel takes more from a transport in large steps only, so that alone
+    shows no progress. Return 0 where it can't be asked.
+    """
+    sock = transport.get_extra_info('socket')
+    if sock is None:
+        return 0
+    try:
+        raw = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+    except OSError:
+        return 0
+    count: int = _INT.unpack(raw)[0]
+    return count
+
+
 @attrs.define(eq=False)
 class UnreadTotal:
     """Sum what the callers of a server have not read."""
--- a/wagtailfork/platform/source.py
+++ b/wagtailfork/platform/source.py
@@ -79,7 +79,11 @@
         A long answer counts for a while, so that the other VMs of the domain
         don't load the same beside it.
         """
-        return self._config_status.is_read and self._servers_status.is_read
+        config = self._config_status
+        if config.claimed and config.loads:
+            # The servers may be what fails.
+            return True
+        return config.is_read and self._servers_status.is_read
 
     @property
     def usage(self) -> StoreClient:
@@ -174,25 +178,17 @@
     async def _read_records(
         self, status: TopicStatus, start: Position, wait_s: float
     ) -> tuple[list[KeyedRecord], Position]:
-        if not wait_s:
-            with self.watch.receive(status.name) as begin:
-                return await self.store.read_keyed(
-                    status.name,
-                    start,
-                    0,
-                    functools.partial(self._record_answer, status, begin),
-                )
         try:
-            async with self.watch.limit(status.name, wait_s) as begin_poll:
+            async with self.watch.limit(status.name, wait_s) as begin:
                 return await self.store.read_keyed(
                     status.name,
                     start,
                     wait_s,
-                    functools.partial(self._record_answer, status, begin_poll),
+                    functools.partial(self._record_answer, status, begin),
                 )
         except TimeoutError as exc:
             self.store.drop_idle()
-            limit_s = self.watch.silence_limit_s
+            limit_s = self.watch.limit_of(wait_s)
             raise WagtailforkError(
                 ResultCode.log_unavailable,
                 f'{status.name}: no answer to any poll in {limit_s} s',
@@ -257,10 +253,11 @@
         if self.view.position == NO_POSITION:
             await self._reload_servers()
             return
+        start = self.view.position
         try:
             records, end = await self._read_records(
                 self._servers_status,
-                self.view.position,
+                start,
                 self._next_wait_s(self._servers_status),
             )
         except PositionLost as exc:
@@ -269,7 +266,7 @@
             await asyncio.sleep(self.watch.settle_s)
             return
         self._apply_records(records, end.era)
-        if records:
+        if end != start:
             # Batch the changes of servers that change at about the same time.
             await asyncio.sleep(self.watch.settle_s)
 
--- a/wagtailfork/platform/store.py
+++ b/wagtailfork/platform/store.py
@@ -30,7 +30,7 @@
 # Without any byte of a body. What arrives slowly is not given up: it would
 # start again at zero. A segment that is lost twice is sent again within this.
 _BODY_SILENCE_S: Final = 1.5
-_WAIT_GRACE_S: Final = 0.8  # added to the wait time of a long poll
+_READ_LIMIT_S: Final = 0.8  # of a read that does not wait for records
 _MS_PER_S: Final = 1000
 _MAX_RESPONSE_BYTES: Final = 67108864  # fits a listing of 14,000 servers
 _ERA: Final = b'store-era'
@@ -123,14 +123,14 @@
     ) -> Listing:
         """Return the newest record of each key of a topic.
 
-        ``on_answer`` is called when the first page begins to arrive.
+        ``on_answer`` is called when a page begins to arrive.
         """
         page = await self._newest_page(topic, None, on_answer)
         records = dict(page.records)
         end = page.end
         while page.has_more:
             after = next(reversed(records), None)
-            page = await self._newest_page(topic, after)
+            page = await self._newest_page(topic, after, on_answer)
             if page.end.era != end.era:
                 raise _unavailable(
                     f'{topic}: listed from {end} to era {page.end.era}'
@@ -149,8 +149,9 @@
     ) -> tuple[list[KeyedRecord], Position]:
         """Wait for records from a position; return them and the next one.
 
-        ``on_answer`` is called when records begin to arrive. Raise
-        ``PositionLost`` if the topic cannot be read on from there.
+        The caller limits the time until ``on_answer`` is called, when records
+        begin to arrive. Raise ``PositionLost`` if the topic cannot be read on
+        from there.
         """
         framed, end = await self._read_frames(topic, start, wait_s, on_answer)
         records = [_parse_keyed(record, offset) for offset, record in framed]
@@ -166,7 +167,9 @@
         Return them and the next position; raise ``PositionLost`` if the topic
         cannot be read on from there.
         """
-        framed, end = await self._read_frames(topic, start, 0)
+        framed, end = await self._read_frames(
+            topic, start, 0, limit_s=_READ_LIMIT_S
+        )
         return [record for _, record in framed], end
 
     async def put_keyed(self, topic: str, key: str, payload: bytes) -> None:
@@ -192,6 +195,7 @@
         start: Position,
         wait_s: float,
         on_answer: OnAnswer = _ignore_answer,
+        limit_s: float | None = None,
     ) -> tuple[list[tuple[int, bytes]], Position]:
         query = {
             'topic': topic,
@@ -202,7 +206,7 @@
         reply = await self._call(
             'GET',
             f'/v1/log-read?{urlencode(query)}',
-            limit_s=wait_s + _WAIT_GRACE_S,
+            limit_s=limit_s,
             on_answer=on_answer,
         )
         if reply.status == _GONE:
@@ -241,7 +245,7 @@
         method: str,
         target: str,
         payload: bytes = b'',
-        limit_s: float = _CALL_TIMEOUT_S,
+        limit_s: float | None = _CALL_TIMEOUT_S,
         on_answer: OnAnswer = _ignore_answer,
     ) -> Reply:
         self.calls += 1
@@ -264,7 +268,7 @@
 
     async def _exchange_within(
         self,
-        limit_s: float,
+        limit_s: float | None,
         head: bytes,
         body: Body | None,
         on_answer: OnAnswer,
