--- a/wagtailfork/gateway/side_handlers.py
+++ b/wagtailfork/gateway/side_handlers.py
@@ -76,7 +76,7 @@
     ) -> None:
         """Respond unless others are being sent the whole configuration.
 
-        The transfer ends when the requester closes the connection, which
+        The transfer ends when the asking VM closes the connection, which
         cancels this handler: what was written may still wait in the transport.
         """
         if self._whole_sent >= MAX_WHOLE_SENT:
