--- a/review/11/play.py
+++ b/review/11/play.py
@@ -22,15 +22,29 @@
     def __init__(self, folder):
         routes = {
             'stock-check': {
-                'host': HOST, 'pathPrefix': '/stock/', 'type': 'safe', 'timeoutMs': 1500,
-                'targetLatencyMs': 400, 'priority': 2, 'service': 'zaliha', 'maxAttempts': 2,
+                'host': HOST,
+                'pathPrefix': '/stock/',
+                'type': 'safe',
+                'timeoutMs': 1500,
+                'targetLatencyMs': 400,
+                'priority': 2,
+                'service': 'zaliha',
+                'maxAttempts': 2,
             },
             'refill-order': {
-                'host': HOST, 'pathPrefix': '/refill/', 'type': 'unsafe', 'timeoutMs': 1200,
-                'targetLatencyMs': 500, 'priority': 1, 'service': 'narudzba', 'maxAttempts': 2,
+                'host': HOST,
+                'pathPrefix': '/refill/',
+                'type': 'unsafe',
+                'timeoutMs': 1200,
+                'targetLatencyMs': 500,
+                'priority': 1,
+                'service': 'narudzba',
+                'maxAttempts': 2,
             },
         }
-        super().__init__(folder, {'zaliha': (14, 0.16), 'narudzba': (8, 0.21)}, routes)
+        super().__init__(
+            folder, {'zaliha': (14, 0.16), 'narudzba': (8, 0.21)}, routes
+        )
         self.crashes_s, self.arrivals_s, self.cut = [], [], 0
 
     async def on_run(self, endpoint, writer, rid, target, headers, body):
@@ -43,7 +57,8 @@
         if PART:
             writer.write(
                 b'HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nServer-Signature: %b\r\n'
-                b'Content-Length: 400\r\n\r\nrrrr' % (rid.encode(), endpoint.name.encode())
+                b'Content-Length: 400\r\n\r\nrrrr'
+                % (rid.encode(), endpoint.name.encode())
             )
         await asyncio.sleep(CRASH_AFTER_S)
         if not endpoint.down:
@@ -60,11 +75,17 @@
 
     async def run(self):
         self.spawn(self.usual(20, 'GET', '/stock/17', 1500, b''))
-        self.spawn(self.usual(10, 'POST', '/refill/17', 2000, b'{"rack": 17, "cartons": 2}'))
+        self.spawn(
+            self.usual(
+                10, 'POST', '/refill/17', 2000, b'{"rack": 17, "cartons": 2}'
+            )
+        )
         end_s = self.record.now() + LENGTH_S
         while self.record.now() < end_s:
             gateway = random.choice(self.gateways)
-            await self.ask(gateway, 'POST', '/refill/17', 2000, POISON, poison=True)
+            await self.ask(
+                gateway, 'POST', '/refill/17', 2000, POISON, poison=True
+            )
             await asyncio.sleep(COMES_EACH_S)
         if not self.trouble:
             return False, f'{len(self.arrivals_s)} runs of the order, no crash'
--- a/review/11/stand_ins.py
+++ b/review/11/stand_ins.py
@@ -11,6 +11,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -33,12 +34,6 @@
 RESET = struct.pack('ii', 1, 0)
 
 
-def log_line(record, event, **fields):
-    """Write one line to the record of a case."""
-    fields = {'at': round(time.monotonic() - record.began_s, 4), 'event': event, **fields}
-    record.file.write(json.dumps(fields) + '\n')
-
-
 class Record:
     """Write what was sent, answered and run."""
 
@@ -50,7 +45,8 @@
         return time.monotonic() - self.began_s
 
     def add(self, event, **fields):
-        log_line(self, event, **fields)
+        fields = {'at': round(self.now(), 4), 'event': event, **fields}
+        self.file.write(json.dumps(fields) + '\n')
 
 
 async def read_head(reader):
@@ -69,7 +65,10 @@
     if 'chunked' in headers.get('transfer-encoding', '').lower():
         parts = []
         while True:
-            size = int((await reader.readline()).split(b';')[0], 16)
+            line = await reader.readline()
+            if not line:
+                raise asyncio.IncompleteReadError(b'', None)
+            size = int(line.split(b';')[0], 16)
             if not size:
                 while (await reader.readline()).strip():
                     pass
@@ -87,6 +86,8 @@
 
 
 class Topic:
+    """A topic of the store; a keyed one if its records have keys."""
+
     def __init__(self):
         self.records = []
         self.newest = {}
@@ -135,10 +136,22 @@
                 line, headers = await read_head(reader)
                 body = await read_body(reader, headers)
                 method, target, _ = line.split(' ')
-                status, kind, payload = await self._respond(method, target, body)
+                status, kind, payload = await self._respond(
+                    method, target, body
+                )
                 await asyncio.sleep(0.004)
-                writer.write(render(f'HTTP/1.1 {status} X', [('Content-Type', kind), ('Store-Era', '0')], payload))
-        except (asyncio.CancelledError, asyncio.IncompleteReadError, ConnectionError):
+                writer.write(
+                    render(
+                        f'HTTP/1.1 {status} X',
+                        [('Content-Type', kind), ('Store-Era', '0')],
+                        payload,
+                    )
+                )
+        except (
+            asyncio.CancelledError,
+            asyncio.IncompleteReadError,
+            ConnectionError,
+        ):
             pass  # the connection or the case has ended
         finally:
             writer.close()
@@ -161,7 +174,13 @@
                     topic.records.append(record)
                 pos += 4 + size
             self._wake()
-            return 200, kind, json.dumps({'offset': first, 'end': len(topic.records)}).encode()
+            return (
+                200,
+                kind,
+                json.dumps(
+                    {'offset': first, 'end': len(topic.records)}
+                ).encode(),
+            )
         if path == '/v1/log-read':
             start = int(args['from'])
             until = time.monotonic() + int(args.get('waitMs', 0)) / 1000
@@ -169,21 +188,44 @@
                 return 410, kind, b'{"first":0}'
             while start == len(topic.records) and time.monotonic() < until:
                 try:
-                    async with asyncio.timeout(max(0.001, until - time.monotonic())):
+                    async with asyncio.timeout(
+                        max(0.001, until - time.monotonic())
+                    ):
                         await self._changed.wait()
                 except TimeoutError:
                     break
             found = topic.records[start:]
             raw = struct.pack('>QQ', len(topic.records), 0)
-            return 200, 'application/octet-stream', raw + b''.join(struct.pack('>I', len(each)) + each for each in found)
+            return (
+                200,
+                'application/octet-stream',
+                raw
+                + b''.join(
+                    struct.pack('>I', len(each)) + each for each in found
+                ),
+            )
         if path == '/v1/log-newest':
             after = args.get('after', '')
             keys = [key for key in sorted(topic.newest) if key > after]
             items = [
-                {'key': key, 'value': base64.b64encode(topic.newest[key][0]).decode(), 'offset': topic.newest[key][1]}
+                {
+                    'key': key,
+                    'value': base64.b64encode(topic.newest[key][0]).decode(),
+                    'offset': topic.newest[key][1],
+                }
                 for key in keys[:500]
             ]
-            return 200, kind, json.dumps({'items': items, 'hasMore': len(keys) > 500, 'end': len(topic.records)}).encode()
+            return (
+                200,
+                kind,
+                json.dumps(
+                    {
+                        'items': items,
+                        'hasMore': len(keys) > 500,
+                        'end': len(topic.records),
+                    }
+                ).encode(),
+            )
         return 404, kind, b'{}'
 
 
@@ -192,7 +234,12 @@
 
     def __init__(self, play, service, zone, host, port, work_s, slots=4):
         self.play, self.service, self.zone = play, service, zone
-        self.host, self.port, self.work_s, self.slots = host, port, work_s, slots
+        self.host, self.port, self.work_s, self.slots = (
+            host,
+            port,
+            work_s,
+            slots,
+        )
         self.running = self.waiting = 0
         self.free = asyncio.Semaphore(slots)
         self.writers = set()
@@ -206,16 +253,26 @@
         self.down = False
         self.running = self.waiting = 0
         self.free = asyncio.Semaphore(self.slots)
-        self.server = await asyncio.start_server(self._serve, self.host, self.port)
+        self.server = await asyncio.start_server(
+            self._serve, self.host, self.port
+        )
         self.register()
 
     def register(self, state='ready'):
         entry = {
-            'service': self.service, 'address': f'{self.host}:{self.port}', 'zone': self.zone,
-            'version': 'v1', 'capacity': self.slots, 'state': state, 'warmupLeftMs': 0,
-            'seq': 1, 'born': self.born,
+            'service': self.service,
+            'address': f'{self.host}:{self.port}',
+            'zone': self.zone,
+            'version': 'v1',
+            'capacity': self.slots,
+            'state': state,
+            'warmupLeftMs': 0,
+            'seq': 1,
+            'born': self.born,
         }
-        self.play.store.put('keyed.servers', self.name, json.dumps(entry).encode())
+        self.play.store.put(
+            'keyed.servers', self.name, json.dumps(entry).encode()
+        )
 
     def crash(self, back_s):
         """End at once: connections are reset, the address refuses, the entry goes after silence."""
@@ -224,7 +281,9 @@
         self.down = True
         name = self.name
         cut = self.running + self.waiting
-        self.play.record.add('endpoint crashes', endpoint=name, service=self.service, at_work=cut)
+        self.play.record.add(
+            'endpoint crashes', endpoint=name, service=self.service, at_work=cut
+        )
         self.server.close()
         for writer in list(self.writers):
             sock = writer.get_extra_info('socket')
@@ -233,7 +292,9 @@
             writer.transport.abort()
         self.writers.clear()
         loop = asyncio.get_running_loop()
-        loop.call_later(SILENCE_S, self.play.store.put, 'keyed.servers', name, b'')
+        loop.call_later(
+            SILENCE_S, self.play.store.put, 'keyed.servers', name, b''
+        )
         loop.call_later(back_s, lambda: self.play.spawn(self.start()))
 
     def _headers(self, request_id=None):
@@ -256,11 +317,22 @@
                     return
                 method, target, _ = line.split(' ')
                 if target == '/health':
-                    writer.write(render('HTTP/1.1 200 OK', [('Instance-Id', self.name), *self._headers()]))
+                    writer.write(
+                        render(
+                            'HTTP/1.1 200 OK',
+                            [('Instance-Id', self.name), *self._headers()],
+                        )
+                    )
                     continue
-                if not await self._answer(reader, writer, method, target, headers, body):
+                if not await self._answer(
+                    reader, writer, method, target, headers, body
+                ):
                     return
-        except (asyncio.CancelledError, asyncio.IncompleteReadError, ConnectionError):
+        except (
+            asyncio.CancelledError,
+            asyncio.IncompleteReadError,
+            ConnectionError,
+        ):
             pass  # the connection or the case has ended
         finally:
             self.writers.discard(writer)
@@ -270,11 +342,24 @@
         rid = headers.get('request-id', '')
         record = self.play.record
         if headers.get('target-instance', self.name) != self.name:
-            writer.write(render('HTTP/1.1 421 X', [('Instance-Id', self.name), ('Request-Id', rid)]))
+            writer.write(
+                render(
+                    'HTTP/1.1 421 X',
+                    [('Instance-Id', self.name), ('Request-Id', rid)],
+                )
+            )
             return True
-        due = time.monotonic() + int(headers.get('request-deadline-ms', 10000)) / 1000
+        due = (
+            time.monotonic()
+            + int(headers.get('request-deadline-ms', 10000)) / 1000
+        )
         if self.running >= self.slots and self.waiting >= 2 * self.slots:
-            writer.write(render('HTTP/1.1 503 X', [('Not-Executed', '1'), *self._headers(rid)]))
+            writer.write(
+                render(
+                    'HTTP/1.1 503 X',
+                    [('Not-Executed', '1'), *self._headers(rid)],
+                )
+            )
             return True
         left = asyncio.ensure_future(reader.read(1))
         self.waiting += 1
@@ -283,7 +368,12 @@
                 await self.free.acquire()
         except TimeoutError:
             left.cancel()
-            writer.write(render('HTTP/1.1 503 X', [('Not-Executed', '1'), *self._headers(rid)]))
+            writer.write(
+                render(
+                    'HTTP/1.1 503 X',
+                    [('Not-Executed', '1'), *self._headers(rid)],
+                )
+            )
             return True
         finally:
             self.waiting -= 1
@@ -292,10 +382,20 @@
         try:
             if self.down or left.done():
                 return False
-            record.add('run', id=rid, endpoint=self.name, target=target, tenant=headers.get('tenant', ''))
-            if not await self.play.on_run(self, writer, rid, target, headers, body):
+            record.add(
+                'run',
+                id=rid,
+                endpoint=self.name,
+                target=target,
+                tenant=headers.get('tenant', ''),
+            )
+            if not await self.play.on_run(
+                self, writer, rid, target, headers, body
+            ):
                 return False
-            done, _ = await asyncio.wait({left}, timeout=self.work_s * random.uniform(0.7, 1.3))
+            done, _ = await asyncio.wait(
+                {left}, timeout=self.work_s * random.uniform(0.7, 1.3)
+            )
             if done or self.down or boot != self.boots:
                 return False
         finally:
@@ -303,7 +403,10 @@
             self.free.release()
             left.cancel()
         await asyncio.gather(left, return_exceptions=True)
-        signature = [('Server-Signature', f'{self.name}.{rid}'), *self._headers(rid)]
+        signature = [
+            ('Server-Signature', f'{self.name}.{rid}'),
+            *self._headers(rid),
+        ]
         writer.write(render('HTTP/1.1 200 OK', signature, b'r' * 400))
         record.add('answered by endpoint', id=rid, endpoint=self.name)
         return True
@@ -320,11 +423,18 @@
 
     def settings(self):
         found = {
-            'vm': self.vm, 'region': REGIONS[self.zone], 'failure_domain': self.zone, 'regions': REGIONS,
-            'caller_address': f'{self.host}:{self.ports[0]}', 'ready_address': f'{self.host}:{self.ports[1]}',
-            'directory_address': f'{self.host}:{self.ports[2]}', 'fleet_address': f'{self.host}:{self.ports[3]}',
+            'vm': self.vm,
+            'region': REGIONS[self.zone],
+            'failure_domain': self.zone,
+            'regions': REGIONS,
+            'caller_address': f'{self.host}:{self.ports[0]}',
+            'ready_address': f'{self.host}:{self.ports[1]}',
+            'directory_address': f'{self.host}:{self.ports[2]}',
+            'fleet_address': f'{self.host}:{self.ports[3]}',
             'metrics_address': f'{self.host}:{self.ports[4]}',
-            'stop_grace_s': 6, 'configuration_limit_ms': 2500, 'first_start': self.first,
+            'stop_grace_s': 6,
+            'configuration_limit_ms': 2500,
+            'first_start': self.first,
             'store_address': self.play.store.address,
             'retries': {'ratio': 0.2, 'slack': 56, 'window_s': 10},
         }
@@ -335,12 +445,20 @@
         path = self.play.folder / f'{self.vm}.json'
         path.write_text(json.dumps(self.settings()))
         self.first = False
-        env = {key: os.environ[key] for key in ('PATH', 'HOME', 'LANG') if key in os.environ}
+        env = {
+            key: os.environ[key]
+            for key in ('PATH', 'HOME', 'LANG')
+            if key in os.environ
+        }
         env['WAGTAILFORK_BOOT'] = str(path)
         env['PYTHONPATH'] = str(ROOT / 'target/deps')
         log = open(self.play.folder / f'{self.vm}.log', 'ab')
         self.process = await asyncio.create_subprocess_exec(
-            *'python3 -P -m wagtailfork gateway'.split(), cwd=ROOT, env=env, stdout=log, stderr=log,
+            *'python3 -P -m wagtailfork gateway'.split(),
+            cwd=ROOT,
+            env=env,
+            stdout=log,
+            stderr=log,
         )
         log.close()
 
@@ -350,7 +468,12 @@
 
     async def is_ready(self):
         try:
-            status, _, _ = await fetch(self.host, self.ports[1], b'GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n', 1)
+            status, _, _ = await fetch(
+                self.host,
+                self.ports[1],
+                b'GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n',
+                1,
+            )
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             return False
         return status == 200
@@ -363,7 +486,11 @@
         try:
             writer.write(raw)
             line, headers = await read_head(reader)
-            return int(line.split(' ')[1]), headers, await read_body(reader, headers)
+            return (
+                int(line.split(' ')[1]),
+                headers,
+                await read_body(reader, headers),
+            )
         finally:
             writer.close()
 
@@ -388,7 +515,9 @@
 class Play:
     """A small deployment: 12 gateways in 4 zones, endpoints, a store."""
 
-    def __init__(self, folder, services, routes, tenants=None, gateways_per_zone=3):
+    def __init__(
+        self, folder, services, routes, tenants=None, gateways_per_zone=3
+    ):
         self.trouble = os.environ.get('TROUBLE', '1') != '0'
         self.record = Record(folder / 'record.txt')
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
@@ -412,9 +541,18 @@
     def put_config(self):
         self.version += 1
         document = {
-            'version': self.version, 'routes': self.routes,
-            'services': {name: {'healthPath': '/health', 'maxConns': 220} for name in self.services},
-            'limits': {'maxHeaderBytes': 16384, 'maxBodyBytes': 67108864, 'headerTimeoutMs': 3000, 'idleTimeoutMs': 15000},
+            'version': self.version,
+            'routes': self.routes,
+            'services': {
+                name: {'healthPath': '/health', 'maxConns': 220}
+                for name in self.services
+            },
+            'limits': {
+                'maxHeaderBytes': 16384,
+                'maxBodyBytes': 67108864,
+                'headerTimeoutMs': 3000,
+                'idleTimeoutMs': 15000,
+            },
         }
         if self.tenants is not None:
             document['tenants'] = self.tenants
@@ -422,40 +560,78 @@
 
     async def start(self):
         zones = list(REGIONS)
-        hosts = [f'127.{10 + z}.0.{1 + n}' for z in range(4) for n in range(self.per_zone)]
+        hosts = [
+            f'127.{10 + z}.0.{1 + n}'
+            for z in range(4)
+            for n in range(self.per_zone)
+        ]
         others = ['127.20.0.1', '127.30.0.1']
         ports = free_ports([*hosts, *others], 6)
         await self.store.start(others[0], ports[5])
         self.put_config()
-        for place, (service, (count, work_s)) in enumerate(self.services.items()):
+        for place, (service, (count, work_s)) in enumerate(
+            self.services.items()
+        ):
             for number in range(count):
                 host = f'127.{40 + place}.0.{1 + number}'
-                one = Endpoint(self, service, zones[number % 4], host, free_ports([host], 1)[0], work_s)
+                one = Endpoint(
+                    self,
+                    service,
+                    zones[number % 4],
+                    host,
+                    free_ports([host], 1)[0],
+                    work_s,
+                )
                 self.endpoints.append(one)
                 await one.start()
         for z, zone in enumerate(zones):
             for number in range(self.per_zone):
-                self.gateways.append(Gateway(self, number + 1, zone, f'127.{10 + z}.0.{1 + number}', ports[:5]))
+                self.gateways.append(
+                    Gateway(
+                        self,
+                        number + 1,
+                        zone,
+                        f'127.{10 + z}.0.{1 + number}',
+                        ports[:5],
+                    )
+                )
         await asyncio.gather(*(one.start() for one in self.gateways))
         await self.until_ready(30)
         await asyncio.sleep(STABLE_S)
 
     async def until_ready(self, limit_s):
         async with asyncio.timeout(limit_s):
-            while not all(await asyncio.gather(*(one.is_ready() for one in self.gateways))):
+            while not all(
+                await asyncio.gather(*(one.is_ready() for one in self.gateways))
+            ):
                 await asyncio.sleep(0.1)
 
-    async def ask(self, gateway, method, path, deadline_ms, body=b'', key='', **fields):
+    async def ask(
+        self, gateway, method, path, deadline_ms, body=b'', key='', **fields
+    ):
         """Send one request of a requester; return the status, 0 if none came."""
         rid = f'{random.getrandbits(64):016x}'
-        headers = [('Host', HOST), ('Request-Id', rid), ('Request-Deadline-Ms', deadline_ms)]
+        headers = [
+            ('Host', HOST),
+            ('Request-Id', rid),
+            ('Request-Deadline-Ms', deadline_ms),
+        ]
         if key:
             headers.append(('X-Api-Key', key))
-        self.record.add('sent', id=rid, machine=gateway.vm, method=method, path=path, **fields)
+        self.record.add(
+            'sent',
+            id=rid,
+            machine=gateway.vm,
+            method=method,
+            path=path,
+            **fields,
+        )
         raw = render(f'{method} {path} HTTP/1.1', headers, body)
         status, signed = 0, False
         try:
-            status, found, _ = await fetch(gateway.host, gateway.ports[0], raw, deadline_ms / 1000 + 0.5)
+            status, found, _ = await fetch(
+                gateway.host, gateway.ports[0], raw, deadline_ms / 1000 + 0.5
+            )
             signed = 'server-signature' in found
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as exc:
             self.record.add('no answer', id=rid, why=repr(exc))
@@ -472,6 +648,7 @@
             if one.process is not None:
                 await one.process.wait()
         self.record.file.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def run_case(play_type, folder):
--- a/review/12/play.py
+++ b/review/12/play.py
@@ -19,11 +19,20 @@
     def __init__(self, folder):
         routes = {
             'stock-check': {
-                'host': HOST, 'pathPrefix': '/stock/', 'type': 'safe', 'timeoutMs': 1500,
-                'targetLatencyMs': 400, 'priority': 2, 'service': 'zaliha', 'maxAttempts': 2,
+                'host': HOST,
+                'pathPrefix': '/stock/',
+                'type': 'safe',
+                'timeoutMs': 1500,
+                'targetLatencyMs': 400,
+                'priority': 2,
+                'service': 'zaliha',
+                'maxAttempts': 2,
             },
         }
-        tenants = {'bad': {'apiKeys': ['key-bad']}, 'good': {'apiKeys': ['key-good']}}
+        tenants = {
+            'bad': {'apiKeys': ['key-bad']},
+            'good': {'apiKeys': ['key-good']},
+        }
         super().__init__(folder, {'zaliha': (14, 0.16)}, routes, tenants)
         self.more_settings = {'revocation_limit_ms': 5000}
         self.crashes_s, self.arrivals_s, self.cut = [], [], 0
@@ -48,7 +57,9 @@
             self.spawn(self.ask_good(random.choice(self.gateways)))
 
     async def ask_good(self, gateway):
-        status = await self.ask(gateway, 'GET', PATH, 1500, key='key-good', tenant='good')
+        status = await self.ask(
+            gateway, 'GET', PATH, 1500, key='key-good', tenant='good'
+        )
         self.statuses[status] = self.statuses.get(status, 0) + 1
 
     async def run(self):
@@ -56,10 +67,15 @@
         end_s = self.record.now() + LENGTH_S
         while self.record.now() < end_s:
             gateway = random.choice(self.gateways)
-            await self.ask(gateway, 'GET', PATH, 1500, key='key-bad', tenant='bad')
+            await self.ask(
+                gateway, 'GET', PATH, 1500, key='key-bad', tenant='bad'
+            )
             await asyncio.sleep(COMES_EACH_S)
         if not self.trouble:
-            return False, f'{len(self.arrivals_s)} runs of the request, no crash; others: {self.statuses}'
+            return (
+                False,
+                f'{len(self.arrivals_s)} runs of the request, no crash; others: {self.statuses}',
+            )
         if len(self.crashes_s) < 3:
             return False, f'only {len(self.crashes_s)} crashes'
         from_s = self.crashes_s[2] + STABLE_S
--- a/review/13/play.py
+++ b/review/13/play.py
@@ -20,8 +20,14 @@
     def __init__(self, folder):
         routes = {
             'refill-order': {
-                'host': HOST, 'pathPrefix': '/refill/', 'type': 'unsafe', 'timeoutMs': 1200,
-                'targetLatencyMs': 500, 'priority': 1, 'service': 'narudzba', 'maxAttempts': 2,
+                'host': HOST,
+                'pathPrefix': '/refill/',
+                'type': 'unsafe',
+                'timeoutMs': 1200,
+                'targetLatencyMs': 500,
+                'priority': 1,
+                'service': 'narudzba',
+                'maxAttempts': 2,
             },
         }
         super().__init__(folder, {'narudzba': (8, 0.21)}, routes)
@@ -43,14 +49,34 @@
         while True:
             await asyncio.sleep(random.expovariate(per_s))
             gateway = random.choice(self.gateways)
-            self.spawn(self.ask(gateway, 'POST', '/refill/17', 2000, b'{"rack": 17, "cartons": 2}'))
+            self.spawn(
+                self.ask(
+                    gateway,
+                    'POST',
+                    '/refill/17',
+                    2000,
+                    b'{"rack": 17, "cartons": 2}',
+                )
+            )
 
     async def give_up(self, gateway):
         """Send the order and close the connection before it is answered."""
         rid = f'{random.getrandbits(64):016x}'
-        self.record.add('sent', id=rid, machine=gateway.vm, poison=True, leaves_after_s=LEAVES_AFTER_S)
-        headers = [('Host', HOST), ('Request-Id', rid), ('Request-Deadline-Ms', 2000)]
-        reader, writer = await asyncio.open_connection(gateway.host, gateway.ports[0])
+        self.record.add(
+            'sent',
+            id=rid,
+            machine=gateway.vm,
+            poison=True,
+            leaves_after_s=LEAVES_AFTER_S,
+        )
+        headers = [
+            ('Host', HOST),
+            ('Request-Id', rid),
+            ('Request-Deadline-Ms', 2000),
+        ]
+        reader, writer = await asyncio.open_connection(
+            gateway.host, gateway.ports[0]
+        )
         writer.write(render('POST /refill/17 HTTP/1.1', headers, POISON))
         try:
             async with asyncio.timeout(LEAVES_AFTER_S):
@@ -68,7 +94,9 @@
             if self.trouble:
                 await self.give_up(gateway)
             else:
-                await self.ask(gateway, 'POST', '/refill/17', 2000, POISON, poison=True)
+                await self.ask(
+                    gateway, 'POST', '/refill/17', 2000, POISON, poison=True
+                )
             await asyncio.sleep(COMES_EACH_S)
         if len(self.crashes_s) < 3:
             return False, f'only {len(self.crashes_s)} crashes'
