--- a/review/11/stand_ins.py
+++ b/review/11/stand_ins.py
@@ -651,6 +651,81 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def make_route(prefix, kind, service, timeout_ms, objective_ms, rank):
+    """Return a route of the small site."""
+    return {
+        'host': HOST,
+        'pathPrefix': prefix,
+        'type': kind,
+        'timeoutMs': timeout_ms,
+        'targetLatencyMs': objective_ms,
+        'priority': rank,
+        'service': service,
+        'maxAttempts': 2,
+    }
+
+
+STOCK_CHECK = make_route('/stock/', 'safe', 'zaliha', 1500, 400, 2)
+REFILL_ORDER = make_route('/refill/', 'unsafe', 'narudzba', 1200, 500, 1)
+MOTIF_UPLOAD = make_route('/motif/', 'upload', 'motivi', 2000, 800, 1)
+
+
+class CrashingRequest(Play):
+    """A request that crashes each endpoint that begins to run it comes again."""
+
+    crash_after_s = 0.05
+    back_s = 3.0
+    comes_each_s = 1.5
+    length_s = 45.0
+
+    def __init__(self, *args, **more):
+        super().__init__(*args, **more)
+        self.crashes_s, self.arrivals_s, self.cut = [], [], 0
+        self.statuses = {}  # of answers to others
+
+    async def fall_over(self, endpoint):
+        """Crash an endpoint a little later."""
+        await asyncio.sleep(self.crash_after_s)
+        if not endpoint.down:
+            self.crashes_s.append(self.record.now())
+            self.cut += endpoint.running + endpoint.waiting - 1
+            endpoint.crash(self.back_s)
+
+    async def usual(self, per_s, method, path, deadline_ms, body=b'', key=''):
+        """Send the requests of others at any gateway."""
+        while True:
+            await asyncio.sleep(random.expovariate(per_s))
+            self.spawn(self.ask_usual(method, path, deadline_ms, body, key))
+
+    async def ask_usual(self, method, path, deadline_ms, body, key):
+        gateway = random.choice(self.gateways)
+        raw = body() if callable(body) else body
+        status = await self.ask(gateway, method, path, deadline_ms, raw, key)
+        self.statuses[status] = self.statuses.get(status, 0) + 1
+
+    async def come(self, send, length_s=None):
+        """Let the request come again and again, at any gateway."""
+        end_s = self.record.now() + (length_s or self.length_s)
+        while self.record.now() < end_s:
+            await send(random.choice(self.gateways))
+            await asyncio.sleep(self.comes_each_s)
+
+    def judge(self):
+        """Return whether the rule was broken, and the figures."""
+        late = []
+        if len(self.crashes_s) >= 3:
+            from_s = self.crashes_s[2] + STABLE_S
+            late = [at_s for at_s in self.arrivals_s if at_s > from_s]
+        why = (
+            f'{len(self.crashes_s)} endpoints crashed; of'
+            f' {len(self.arrivals_s)} arrivals {len(late)} were later than 4 s'
+            f' after the third crash (3 allowed); {self.cut} requests of others'
+            f' were cut; answers to others: {self.statuses}'
+        )
+        self.record.add('verdict', why=why)
+        return len(late) > 3, why
+
+
 def run_case(play_type, folder):
     """Run one case; exit with 1 if the rule was broken, 0 if held, else 2."""
 
