Tell the requests of two customers apart in the quarantine

Cause: the gateway's fingerprint left out the customer, so answers to one request absolved the other for good. It was a CRC-32 besides, which a caller can forge. The own interface has the customer: the concept stood twice.

Ruled out: strikes that are not recorded, answers that are not whole.

Change: one function for both interfaces, a BLAKE2b digest with the customer. Messages between VMs carry 16 bytes; the 32-bit number of an earlier build is still read and answered in kind.

--- a/wagtailfork/fleet/messages.py
+++ b/wagtailfork/fleet/messages.py
@@ -106,8 +106,8 @@
     r"""Decode a datagram or raise ``frame_malformed``.
 
     >>> from .trial_messages import Strike
-    >>> decode(encode(Strike(5, 'a')))
-    Strike(fingerprint=5, server='a', started_ms=0, trial=False)
+    >>> decode(encode(Strike('00000005', 'a')))
+    Strike(fingerprint='00000005', server='a', started_ms=0, trial=False)
     >>> decode(b'\x00')
     Traceback (most recent call last):
     ...
--- a/wagtailfork/fleet/trial_messages.py
+++ b/wagtailfork/fleet/trial_messages.py
@@ -6,7 +6,13 @@
 import attrs
 
 from ..routing.quarantine import Crash
-from .wire_values import as_address, as_count, as_number, as_text
+from .wire_values import (
+    as_address,
+    as_count,
+    as_digest,
+    as_text,
+    render_digest,
+)
 
 _STRIKE_KIND: Final = 3
 _REQUEST_KIND: Final = 40
@@ -21,7 +27,7 @@
 class Strike:
     """Report that a request crashed a backend server."""
 
-    fingerprint: int
+    fingerprint: str
     server: str
     started_ms: int = 0  # of the process that crashed
     trial: bool = False  # whether the request was sent as a trial
@@ -32,7 +38,7 @@
     """Ask whether a quarantined request may be sent once more."""
 
     sender: str
-    fingerprint: int
+    fingerprint: str
     crashes: tuple[Crash, ...]
 
 
@@ -43,7 +49,7 @@
     Nothing of it holds if the request is no longer in quarantine.
     """
 
-    fingerprint: int
+    fingerprint: str
     wait_ms: int
 
 
@@ -51,7 +57,7 @@
 class TrialReturn:
     """Report that a trial told nothing about the request."""
 
-    fingerprint: int
+    fingerprint: str
     ran: bool  # a server may have run it, and survived
 
 
@@ -59,7 +65,7 @@
 class Absolution:
     """Report that a request was answered, so that these strikes don't count."""
 
-    fingerprint: int
+    fingerprint: str
     crashes: tuple[Crash, ...]
 
 
@@ -70,7 +76,7 @@
 def render_trial(message: Any) -> list[Any]:
     """Return the wire form.
 
-    >>> render_trial(Absolution(5, (Crash('a', 7),)))
+    >>> render_trial(Absolution('00000005', (Crash('a', 7),)))
     [43, 5, ['a', 7]]
     """
     raise TypeError(f'no wire form of {type(message).__name__}')
@@ -78,30 +84,31 @@
 
 @render_trial.register
 def _(message: Strike) -> list[Any]:
-    row = [_STRIKE_KIND, message.fingerprint, message.server]
+    row = [_STRIKE_KIND, render_digest(message.fingerprint), message.server]
     return [*row, message.started_ms, message.trial]
 
 
 @render_trial.register
 def _(message: TrialRequest) -> list[Any]:
-    row = [_REQUEST_KIND, message.sender, message.fingerprint]
+    row = [_REQUEST_KIND, message.sender, render_digest(message.fingerprint)]
     return [*row, *_render_crashes(message.crashes)]
 
 
 @render_trial.register
 def _(message: TrialDecision) -> list[Any]:
-    return [_DECISION_KIND, message.fingerprint, message.wait_ms]
+    digest = render_digest(message.fingerprint)
+    return [_DECISION_KIND, digest, message.wait_ms]
 
 
 @render_trial.register
 def _(message: TrialReturn) -> list[Any]:
-    return [_RETURN_KIND, message.fingerprint, message.ran]
+    return [_RETURN_KIND, render_digest(message.fingerprint), message.ran]
 
 
 @render_trial.register
 def _(message: Absolution) -> list[Any]:
     crashes = _render_crashes(message.crashes)
-    return [_ABSOLUTION_KIND, message.fingerprint, *crashes]
+    return [_ABSOLUTION_KIND, render_digest(message.fingerprint), *crashes]
 
 
 def _render_crashes(crashes: tuple[Crash, ...]) -> list[list[Any]]:
@@ -117,7 +124,7 @@
 
 def _parse_strike(parts: list[Any]) -> Strike:
     fingerprint, server, *rest = parts
-    strike = Strike(as_number(fingerprint), as_text(server))
+    strike = Strike(as_digest(fingerprint), as_text(server))
     if len(parts) == _STRIKE_FIELDS:
         return strike
     started_ms, trial = rest
@@ -129,23 +136,23 @@
 def _parse_request(parts: list[Any]) -> TrialRequest:
     sender, fingerprint, *crashes = parts
     return TrialRequest(
-        as_address(sender), as_number(fingerprint), _parse_crashes(crashes)
+        as_address(sender), as_digest(fingerprint), _parse_crashes(crashes)
     )
 
 
 def _parse_decision(parts: list[Any]) -> TrialDecision:
     fingerprint, wait_ms = parts
-    return TrialDecision(as_number(fingerprint), as_count(wait_ms))
+    return TrialDecision(as_digest(fingerprint), as_count(wait_ms))
 
 
 def _parse_return(parts: list[Any]) -> TrialReturn:
     fingerprint, ran = parts
-    return TrialReturn(as_number(fingerprint), bool(ran))
+    return TrialReturn(as_digest(fingerprint), bool(ran))
 
 
 def _parse_absolution(parts: list[Any]) -> Absolution:
     fingerprint, *crashes = parts
-    return Absolution(as_number(fingerprint), _parse_crashes(crashes))
+    return Absolution(as_digest(fingerprint), _parse_crashes(crashes))
 
 
 TRIAL_PARSERS: Final[dict[int, Any]] = {
--- a/wagtailfork/fleet/wire_values.py
+++ b/wagtailfork/fleet/wire_values.py
@@ -3,8 +3,10 @@
 from typing import Any, Final
 
 from ..core.address import is_address
+from ..routing.fingerprints import FINGERPRINT_BYTES
 
 MAX_NUMBER: Final = 9007199254740992  # 2**53, beyond any count or time
+_MAX_CHECKSUM: Final = 0xFFFFFFFF
 
 
 def as_number(found: Any) -> int:
@@ -45,6 +47,28 @@
     return str(found)
 
 
+def as_digest(found: Any) -> str:
+    """Return a digest in hexadecimal; earlier builds send 32 bits.
+
+    >>> as_digest(bytes(16)), as_digest(5)
+    ('00000000000000000000000000000000', '00000005')
+    """
+    if isinstance(found, bytes) and len(found) == FINGERPRINT_BYTES:
+        return found.hex()
+    number = as_count(found)
+    if number > _MAX_CHECKSUM:
+        raise ValueError(f'{number} is neither a digest nor a checksum')
+    return f'{number:08x}'
+
+
+def render_digest(digest: str) -> bytes | int:
+    """Return the wire form of a digest, a number for one of 32 bits."""
+    raw = bytes.fromhex(digest)
+    if len(raw) == FINGERPRINT_BYTES:
+        return raw
+    return int.from_bytes(raw, 'big')
+
+
 def as_name(found: Any) -> str:
     """Return the key of a record, which may be any text."""
     if not isinstance(found, str):
--- a/wagtailfork/gateway/call.py
+++ b/wagtailfork/gateway/call.py
@@ -1,7 +1,6 @@
 """State of a caller request and the result of each attempt to send it."""
 
 import asyncio
-import zlib
 from typing import Final
 
 import attrs
@@ -11,6 +10,7 @@
 from ..http1.request import CallerRequest
 from ..http1.responses import BackendResponse
 from ..routing.candidate import Candidate
+from ..routing.fingerprints import fingerprint_of
 from ..routing.late_binding import ServiceQueue
 from ..routing.queued_request import QueuedRequest, Refused
 from ..routing.routes import Route
@@ -91,11 +91,14 @@
         return self.deadline_at_s - now_s()
 
 
-def fingerprint_of(req: CallerRequest) -> str:
-    """Return a checksum of the method, host, target and buffered body."""
+def identify(req: CallerRequest, customer: str) -> str:
+    """Return the fingerprint of a request whose body is buffered."""
     host = req.find(b'host') or b''
-    parts = (req.method, host, req.target)
-    digest = zlib.crc32(b' '.join(parts))
-    if req.body.kept:
-        digest = zlib.crc32(req.body.payload(), digest)
-    return f'{digest:08x}'
+    return fingerprint_of(
+        customer,
+        host.partition(b':')[0].lower(),
+        req.method,
+        req.target,
+        size=None,
+        body=(req.body.payload(),) if req.body.kept else (),
+    )
--- a/wagtailfork/gateway/forwarder.py
+++ b/wagtailfork/gateway/forwarder.py
@@ -15,7 +15,7 @@
 from ..routing.queued_request import QueuedRequest
 from ..routing.routes import Route, WeightedRoundRobin
 from .backend_registry import BackendRegistry
-from .call import Call, SendResult, fingerprint_of
+from .call import Call, SendResult, identify
 from .dialect import Dialect, RequestMetadata
 from .key_check import Identity, shared_regions
 from .meters import Meters
@@ -190,7 +190,7 @@
         call.queued.kilobytes = (
             HEADERS_KB + response_kb + call.req.body.size / _KB
         )
-        call.fingerprint = fingerprint_of(call.req)
+        call.fingerprint = identify(call.req, call.queued.customer)
         admission = await self.trials.admit(call.fingerprint)
         if admission != FREE:
             self.log.emit(
--- a/wagtailfork/gateway/tests/test_node.py
+++ b/wagtailfork/gateway/tests/test_node.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import zlib
 from typing import Any
 from unittest import mock
 
@@ -21,6 +20,7 @@
     truncate_response,
 )
 from .. import trials
+from ...routing.fingerprints import fingerprint_of
 from ..placement_client import PlacementClient
 from .rig import (
     CONFIG_TOPIC,
@@ -31,6 +31,8 @@
     run_scenario,
 )
 
+LOOK = fingerprint_of('', HOST.encode(), b'GET', b'/look/1', size=None, body=())
+
 
 class TestPath(testtools.TestCase):
     """Requests are served, or refused with a correct status."""
@@ -275,7 +277,7 @@
     async def _strike_queued(self, rig: Rig) -> None:
         await rig.start()
         quarantine = rig.nodes[0].trials.quarantine
-        fingerprint = f'{zlib.crc32(f"GET {HOST} /look/1".encode()):08x}'
+        fingerprint = LOOK
         place = PlacementClient.place
 
         async def strike_and_place(client: PlacementClient, *args: Any) -> Any:
@@ -297,7 +299,7 @@
     async def _abandon_trial(self, rig: Rig) -> None:
         await rig.start()
         node = rig.nodes[0]
-        fingerprint = f'{zlib.crc32(f"GET {HOST} /look/1".encode()):08x}'
+        fingerprint = LOOK
         for name in ('gone', 'gone-too'):
             node.trials.quarantine.strike(fingerprint, name, now_s())
         _script_all(rig, never_respond)
--- a/wagtailfork/gateway/trials.py
+++ b/wagtailfork/gateway/trials.py
@@ -211,7 +211,7 @@
         if arbiter == self.membership.me.address:
             self.schedule.give_back(fingerprint, ran=ran)
         else:
-            self.send(TrialReturn(int(fingerprint, _HEX), ran), [arbiter])
+            self.send(TrialReturn(fingerprint, ran), [arbiter])
 
     @singledispatchmethod
     def receive(self, message: TrialMessage) -> None:
@@ -221,7 +221,7 @@
     @receive.register
     def _(self, message: Strike) -> None:
         self.quarantine.strike(
-            _text(message.fingerprint),
+            message.fingerprint,
             message.server,
             now_s(),
             message.started_ms,
@@ -231,7 +231,7 @@
     @receive.register
     def _(self, message: TrialRequest) -> None:
         # The sender may have missed an absolution, or this VM some strikes.
-        fingerprint = _text(message.fingerprint)
+        fingerprint = message.fingerprint
         now = now_s()
         absolved = self.quarantine.absolved(fingerprint, message.crashes)
         if absolved:
@@ -248,16 +248,16 @@
 
     @receive.register
     def _(self, message: TrialDecision) -> None:
-        self._resolve(_text(message.fingerprint), message.wait_ms / _MS)
+        self._resolve(message.fingerprint, message.wait_ms / _MS)
 
     @receive.register
     def _(self, message: TrialReturn) -> None:
-        fingerprint = _text(message.fingerprint)
+        fingerprint = message.fingerprint
         self.schedule.give_back(fingerprint, ran=message.ran)
 
     @receive.register
     def _(self, message: Absolution) -> None:
-        self._absolve(_text(message.fingerprint), message.crashes, told=True)
+        self._absolve(message.fingerprint, message.crashes, told=True)
 
     def _absolve(
         self,
@@ -279,7 +279,7 @@
             strikes=len(crashes),
             told=told,
         )
-        message = Absolution(int(fingerprint, _HEX), crashes)
+        message = Absolution(fingerprint, crashes)
         arbiter = self._arbiter(fingerprint)
         if arbiter == self.membership.me.address:
             self.send(message, self._others())
@@ -304,7 +304,7 @@
         waiter = asyncio.get_running_loop().create_future()
         self._waiters[fingerprint] = waiter
         crashes = self.quarantine.crashes(fingerprint)
-        self.send(TrialRequest(me, int(fingerprint, _HEX), crashes), [arbiter])
+        self.send(TrialRequest(me, fingerprint, crashes), [arbiter])
         try:
             async with asyncio.timeout(ASK_TIMEOUT_S):
                 return await waiter
@@ -328,9 +328,4 @@
 
 
 def _strike(fingerprint: str, crash: Crash, *, trial: bool) -> Strike:
-    number = int(fingerprint, _HEX)
-    return Strike(number, crash.server, crash.started_ms, trial)
-
-
-def _text(fingerprint: int) -> str:
-    return f'{fingerprint:08x}'
+    return Strike(fingerprint, crash.server, crash.started_ms, trial)
--- a/wagtailfork/proxy/request.py
+++ b/wagtailfork/proxy/request.py
@@ -1,7 +1,6 @@
 """Parsing and validation of caller requests."""
 
 import functools
-import hashlib
 import secrets
 import time
 from collections.abc import AsyncIterator
@@ -11,12 +10,12 @@
 
 from ..core.errors import WagtailforkError
 from ..core.results import ResultCode
+from ..routing.fingerprints import fingerprint_of
 from . import headers as hdrs
 
 BUFFERED_BODY_BYTES: Final = 65536
 MAX_FIELD_BYTES: Final = 256
 MAX_DEADLINE_MS: Final = 24 * 60 * 60 * 1000
-_FINGERPRINT_BYTES: Final = 16
 
 
 @attrs.frozen(kw_only=True)
@@ -53,16 +52,15 @@
 
         Of a streamed body it covers the content length and buffered part.
         """
-        hasher = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
-        for part in (self.customer, self.service, self.method, self.target):
-            hasher.update(part.encode())
-            hasher.update(b'\0')
-        for name, value in self.headers:
-            if name == 'content-length':
-                hasher.update(value.encode())
-        hasher.update(b'\0')
-        hasher.update(self.body.buffered)
-        return hasher.hexdigest()
+        size = dict(self.headers).get('content-length')
+        return fingerprint_of(
+            self.customer,
+            self.service.encode(),
+            self.method.encode(),
+            self.target.encode(),
+            size=None if size is None else size.encode(),
+            body=(self.body.buffered,),
+        )
 
 
 @attrs.frozen(kw_only=True)
