Count servers that crash within their answers

Cause: only a connection that was lost before the head of an answer led to a check of the server. A truncated answer was a failed outcome and no strike; the first part of an answer above 512 KB, and one whose end only the connection marks, even absolved the request.

Change: what the end of a request says about it is decided in one place. An answer absolves once it is complete, and one that ends with its connection once its server accepts another. A trial whose answer can't be used is given back.

--- a/wagtailfork/gateway/crash_detector.py
+++ b/wagtailfork/gateway/crash_detector.py
@@ -1,4 +1,4 @@
-"""Detect whether a lost response means that the request crashed the server."""
+"""Detect whether the end of a connection means that the server crashed."""
 
 import asyncio
 from typing import Final
@@ -10,7 +10,7 @@
 from ..http1.responses import RequestNotSent
 from ..routing.quarantine import Crash
 from .backend_registry import BackendRegistry
-from .call import Call
+from .call import Call, SendResult
 from .model import BackendServer
 from .trials import Trials
 
@@ -20,36 +20,68 @@
 
 @attrs.define(eq=False)
 class CrashDetector:
-    """Record a strike for each request after which a server is unreachable."""
+    """Record a strike for each request with which a server was lost.
+
+    A server crashed if it accepts no connection after one was lost: before an
+    answer, within it, or at an end that only the connection marks.
+    """
 
     backends: BackendRegistry
     trials: Trials
     _tasks: set['asyncio.Task[None]'] = attrs.field(factory=set)
 
-    def check_server(self, call: Call, server: str) -> None:
-        """Check in the background whether a server accepts connections."""
+    def record_end(self, call: Call, result: SendResult) -> None:
+        """Record what the end of a request says about it.
+
+        A complete answer absolves it; a trial that no server ran is given back.
+        """
+        response = result.response
+        if response is None or result.rejected:
+            if call.trial and not call.may_have_run:
+                self.trials.give_back(call.fingerprint, ran=False)
+            return
+        if response.body.truncated:
+            self.check_server(call, result.server)
+            return
+        if not response.body.complete:
+            return
+        if response.until_close:
+            # The end of the answer may be that of the server.
+            self.check_server(call, result.server, answered=True)
+            return
+        self.trials.record_answer(call.fingerprint)
+
+    def check_server(
+        self, call: Call, server: str, *, answered: bool = False
+    ) -> None:
+        """Check in the background whether a server accepts connections.
+
+        If it does, the request is absolved if it was ``answered``.
+        """
         entry = self.backends.server(server)
         if entry is None:
             return
-        check = self._check(call.fingerprint, entry, trial=call.trial)
+        check = self._check(call, entry, answered=answered)
         task = asyncio.create_task(check)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _check(
-        self, fingerprint: str, entry: BackendServer, *, trial: bool
+        self, call: Call, entry: BackendServer, *, answered: bool
     ) -> None:
         await asyncio.sleep(CHECK_DELAY_S)
         host, _, port = entry.address.rpartition(':')
         try:
             conn = await connect(host, int(port), CONNECT_TIMEOUT_S)
         except RequestNotSent:
-            self._strike(fingerprint, entry, trial=trial)
+            self._strike(call.fingerprint, entry, trial=call.trial)
             return
         conn.close()
-        if trial:
-            # The server survived it.
-            self.trials.give_back(fingerprint, ran=True)
+        # The server survived it.
+        if answered:
+            self.trials.record_answer(call.fingerprint)
+        elif call.trial:
+            self.trials.give_back(call.fingerprint, ran=True)
 
     def _strike(
         self, fingerprint: str, entry: BackendServer, *, trial: bool
--- a/wagtailfork/gateway/forwarder.py
+++ b/wagtailfork/gateway/forwarder.py
@@ -16,6 +16,7 @@
 from ..routing.routes import Route, WeightedRoundRobin
 from .backend_registry import BackendRegistry
 from .call import Call, SendResult, identify
+from .crash_detector import CrashDetector
 from .dialect import Dialect, RequestMetadata
 from .key_check import Identity, shared_regions
 from .meters import Meters
@@ -49,6 +50,7 @@
     hedging: HedgePolicy
     responder: Responder
     trials: Trials
+    crashes: CrashDetector
     round_robin: WeightedRoundRobin = attrs.field(factory=WeightedRoundRobin)
 
     @property
@@ -214,23 +216,22 @@
         except asyncio.CancelledError:
             self._abandon_trial(call)
             raise
-        self._record_evidence(call, result)
-        await self.responder.finish(call, result)
-
-    def _record_evidence(self, call: Call, result: SendResult) -> None:
-        """Absolve a request if a server ran it and responded."""
-        if result.response is not None and not result.rejected:
-            if self.quarantine.is_suspect(call.fingerprint):
-                self.trials.record_answer(call.fingerprint)
-        elif call.trial and not call.may_have_run:
-            self.trials.give_back(call.fingerprint, ran=False)
+        response = result.response
+        if response is None or response.body.complete:
+            self.crashes.record_end(call, result)
+            await self.responder.finish(call, result)
+            return
+        try:
+            await self.responder.finish(call, result)
+        finally:
+            self.crashes.record_end(call, result)
 
     def _abandon_trial(self, call: Call) -> None:
         """Check the server of a trial whose caller has left."""
         if not call.trial:
             return
         if call.sends and call.candidate is not None:
-            self.sender.suspect_crash(call, call.candidate.name)
+            self.crashes.check_server(call, call.candidate.name)
         else:
             self.trials.give_back(call.fingerprint, ran=False)
 
--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -294,6 +294,7 @@
                 evidence=self.evidence,
             ),
             trials=self.trials,
+            crashes=self.crash_detector,
         )
 
     def _make_sender(self) -> Sender:
--- a/wagtailfork/gateway/sender.py
+++ b/wagtailfork/gateway/sender.py
@@ -38,6 +38,8 @@
 _MIN_TIMEOUT_S: Final = 0.001
 _UNREACHABLE_REASONS: Final = frozenset(('connect_failed', 'other_server'))
 
+# Checks a server after a lost connection: call, server, whether it answered.
+SuspectCrash = Callable[..., None]
 # Records a finished send: call, server, outcome, size of the response body.
 RecordSend = Callable[[Call, Candidate, str, int], None]
 
@@ -66,7 +68,7 @@
     placer: PlacementClient
     dialect: Dialect
     log: EventLog
-    suspect_crash: Callable[[Call, str], None]
+    suspect_crash: SuspectCrash
     record_send: RecordSend
     limits: LimitRecorder
     statements: StatementRecorder
@@ -364,20 +366,31 @@
         why = _response_fault(response, metadata, call)
         if why:
             result.reason = why
-            candidate.load.record_outcome(now, failed=True)
-            self.log.emit(
-                'answer_bad',
-                important=True,
-                id=call.metadata.request_id,
-                server=candidate.name,
-                why=why,
-            )
+            self._record_unusable(call, candidate, response, why)
             return
         result.response = response
         result.reason = f'status_{response.status}'
         failed = response.status >= _SERVER_ERROR
         candidate.load.record_outcome(now, failed=failed)
 
+    def _record_unusable(
+        self,
+        call: Call,
+        candidate: Candidate,
+        response: BackendResponse,
+        why: str,
+    ) -> None:
+        candidate.load.record_outcome(now_s(), failed=True)
+        if response.body.truncated or call.trial:
+            self.suspect_crash(call, candidate.name)
+        self.log.emit(
+            'answer_bad',
+            important=True,
+            id=call.metadata.request_id,
+            server=candidate.name,
+            why=why,
+        )
+
 
 def _refuse_key(code: ResultCode) -> SendResult:
     refusal = Refused(code.name, STALE_RETRY_AFTER_S)
--- a/wagtailfork/gateway/tests/rig.py
+++ b/wagtailfork/gateway/tests/rig.py
@@ -15,6 +15,7 @@
 from ...http1.headers import render_head
 from ...http1.responses import BackendResponse
 from ...platform.adapter import make_gateway
+from ...routing.fingerprints import fingerprint_of
 from ...standin.documents import make_route
 from ...standin.keyed_store import KeyedStoreStandin
 from ...standin.scripted_backend import ScriptedBackend
@@ -24,6 +25,10 @@
 CONFIG_TOPIC: Final = 'keyed.op'
 SERVERS_TOPIC: Final = 'keyed.servers'
 HOST: Final = 'shop.example'
+# The fingerprint of GET /look/1 by callers without a customer.
+LOOK: Final = fingerprint_of(
+    '', HOST.encode(), b'GET', b'/look/1', size=None, body=()
+)
 STEP_S: Final = 0.01
 LIMIT_S: Final = 10.0  # for any condition that a test waits for
 
--- a/wagtailfork/gateway/tests/test_node.py
+++ b/wagtailfork/gateway/tests/test_node.py
@@ -20,19 +20,16 @@
     truncate_response,
 )
 from .. import trials
-from ...routing.fingerprints import fingerprint_of
 from ..placement_client import PlacementClient
 from .rig import (
     CONFIG_TOPIC,
-    HOST,
+    LOOK,
     SERVERS_TOPIC,
     Rig,
     make_config,
     run_scenario,
 )
 
-LOOK = fingerprint_of('', HOST.encode(), b'GET', b'/look/1', size=None, body=())
-
 
 class TestPath(testtools.TestCase):
     """Requests are served, or refused with a correct status."""
--- a/wagtailfork/gateway/trials.py
+++ b/wagtailfork/gateway/trials.py
@@ -201,6 +201,8 @@
 
     def record_answer(self, fingerprint: str) -> None:
         """Absolve a request that a server answered, at all VMs."""
+        if not self.quarantine.is_suspect(fingerprint):
+            return
         crashes = self.quarantine.crashes(fingerprint)
         self._absolve(fingerprint, crashes)
 
--- a/wagtailfork/http1/backend.py
+++ b/wagtailfork/http1/backend.py
@@ -302,6 +302,7 @@
         chunked = response.find(b'transfer-encoding') is not None
         bodiless = response.status in _BODILESS or self._head_only
         self._until_close = not (sized or chunked or bodiless)
+        response.until_close = self._until_close
         keep_alive = response.find(b'keep-alive') or b''
         _, _, timeout = keep_alive.partition(b'timeout=')
         digits = timeout.split(b',')[0].strip()
--- a/wagtailfork/http1/responses.py
+++ b/wagtailfork/http1/responses.py
@@ -30,6 +30,8 @@
     status: int
     headers: list[Header]
     body: Body
+    # Whether the body ends where the connection does, also by a crash.
+    until_close: bool = False
 
     def find(self, name: bytes) -> bytes | None:
         """Return the first value of a header by its lower-case name."""
--- a/wagtailfork/standin/scripted_backend.py
+++ b/wagtailfork/standin/scripted_backend.py
@@ -83,11 +83,42 @@
     writer: Writer,
 ) -> None:
     """Start the request, then stop the server and abort the connection."""
-    backend.runs.append(req)
+    await never_respond(backend, req, writer)
     await backend.stop()
     writer.transport.abort()
 
 
+async def crash_process(
+    backend: 'ScriptedBackend',
+    req: ReceivedRequest,
+    writer: Writer,
+    *,
+    reset: bool = True,
+) -> None:
+    """Start the request, then end the server and all its connections."""
+    backend.runs.append(req)
+    await backend.crash()
+    if reset:
+        writer.transport.abort()
+    else:
+        writer.close()
+
+
+def crash_within(answer: bytes, *, reset: bool = True) -> Script:
+    """Return a script that ends the server after a part of an answer."""
+
+    async def crash(
+        backend: 'ScriptedBackend', req: ReceivedRequest, writer: Writer
+    ) -> None:
+        request_id = req.headers.get('request-id', '').encode()
+        writer.write(answer.replace(b'{id}', request_id))
+        await writer.drain()
+        await asyncio.sleep(backend.service_s)
+        await crash_process(backend, req, writer, reset=reset)
+
+    return crash
+
+
 async def respond_twice(
     backend: 'ScriptedBackend',
     req: ReceivedRequest,
@@ -175,6 +206,13 @@
         if self._server is not None:
             self._server.close()
 
+    async def crash(self) -> None:
+        """End as a process does, but for the connection that asks for it."""
+        self._ended = True
+        await self.stop()
+        for handler in self._handlers - {asyncio.current_task()}:
+            handler.cancel()
+
     async def end(self) -> None:
         """Stop listening and end all open connections."""
         self._ended = True
