Watch servers that may run requests nobody awaits

Cause: a crash was noticed only by a connection that was lost while the VM waited for the answer. When a caller leaves, when its deadline passes and when a connection is reset, nothing was left by which it could be noticed.

Change: a bounded record of the copies that each server may be running, until the deadline that it was told. Meanwhile the VM watches the server by an idle connection of its pool, or by one of its own, and records strikes when the process ends, unless it was leaving. A trial goes on when its caller leaves.

--- a/wagtailfork/gateway/call.py
+++ b/wagtailfork/gateway/call.py
@@ -75,6 +75,7 @@
     candidate: Candidate | None = None
     coordinator: str = ''  # that placed the last copy; empty if none did
     may_have_run: bool = False
+    answered: bool = False  # completely, by a server that lives on
     # The caller has its final answer, so nothing may be sent any more.
     concluded: bool = False
     # Servers that stated that they did not run it, in the order of the sends.
--- a/wagtailfork/gateway/forwarder.py
+++ b/wagtailfork/gateway/forwarder.py
@@ -1,6 +1,7 @@
 """Forward requests to backend servers, with retries and hedging."""
 
 import asyncio
+import functools
 from collections.abc import Callable
 from typing import Final
 
@@ -52,6 +53,7 @@
     trials: Trials
     crashes: CrashDetector
     round_robin: WeightedRoundRobin = attrs.field(factory=WeightedRoundRobin)
+    _left_trials: set['asyncio.Task[SendResult]'] = attrs.field(factory=set)
 
     @property
     def quarantine(self) -> Quarantine:
@@ -211,11 +213,10 @@
             )
             return
         call.trial = admission.trial
-        try:
+        if call.trial:
+            result = await self._send_trial(call)
+        else:
             result = await self._send_with_retries(call)
-        except asyncio.CancelledError:
-            self._abandon_trial(call)
-            raise
         response = result.response
         if response is None or response.body.complete:
             self.crashes.record_end(call, result)
@@ -226,14 +227,43 @@
         finally:
             self.crashes.record_end(call, result)
 
-    def _abandon_trial(self, call: Call) -> None:
-        """Check the server of a trial whose caller has left."""
-        if not call.trial:
-            return
-        if call.sends and call.candidate is not None:
-            self.crashes.check_server(call, call.candidate.name)
-        else:
+    async def _send_trial(self, call: Call) -> SendResult:
+        """Send a trial; it goes on if its caller leaves while a server runs it.
+
+        What it shows counts for all callers that wait for it.
+        """
+        task = asyncio.create_task(self._run_trial(call))
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if call.sends:
+                self._left_trials.add(task)
+                task.add_done_callback(
+                    functools.partial(self._end_left_trial, call)
+                )
+            else:
+                task.cancel()
+            raise
+
+    async def _run_trial(self, call: Call) -> SendResult:
+        try:
+            async with asyncio.timeout(max(0, call.left_s())):
+                return await self._send_with_retries(call)
+        except TimeoutError:
+            # A server that has the request is watched.
+            call.may_have_run = call.may_have_run or bool(call.sends)
+            return SendResult(reason='deadline_passed')
+        except asyncio.CancelledError:
             self.trials.give_back(call.fingerprint, ran=False)
+            raise
+
+    def _end_left_trial(
+        self, call: Call, task: 'asyncio.Task[SendResult]'
+    ) -> None:
+        self._left_trials.discard(task)
+        result = task.result()
+        self.crashes.record_end(call, result)
+        result.discard()
 
     async def _send_with_retries(self, call: Call) -> SendResult:
         fallback: SendResult | None = None
--- a/wagtailfork/gateway/node.py
+++ b/wagtailfork/gateway/node.py
@@ -162,7 +162,13 @@
             send=self._send_to_vms,
             log=self.log,
         )
-        self.crash_detector = CrashDetector(self.backends, self.trials)
+        self.crash_detector = CrashDetector(
+            backends=self.backends,
+            trials=self.trials,
+            pool=self.pool,
+            log=self.log,
+        )
+        self.pool.on_lost = self.crash_detector.record_lost
         self.forwarder = self._make_forwarder()
         self.link = self._make_link()
         self.reader_election = ReaderElection(
@@ -304,6 +310,7 @@
             dialect=self.adapter.dialect,
             log=self.log,
             suspect_crash=self.crash_detector.check_server,
+            abandon_copy=self.crash_detector.abandon,
             limits=self.limits,
             statements=self.statements,
             answers=AnswerRecorder(self.log, self.meters),
--- a/wagtailfork/gateway/sender.py
+++ b/wagtailfork/gateway/sender.py
@@ -38,8 +38,6 @@
 _MIN_TIMEOUT_S: Final = 0.001
 _UNREACHABLE_REASONS: Final = frozenset(('connect_failed', 'other_server'))
 
-# Checks a server after a lost connection: call, server, whether it answered.
-SuspectCrash = Callable[..., None]
 # Records a finished send: call, server, outcome, size of the response body.
 RecordSend = Callable[[Call, Candidate, str, int], None]
 
@@ -68,7 +66,8 @@
     placer: PlacementClient
     dialect: Dialect
     log: EventLog
-    suspect_crash: SuspectCrash
+    suspect_crash: Callable[[Call, str], None]
+    abandon_copy: Callable[[Call, str], None]
     record_send: RecordSend
     limits: LimitRecorder
     statements: StatementRecorder
@@ -194,6 +193,7 @@
             return result
         except asyncio.CancelledError:
             self.record_send(call, candidate, 'cancelled', 0)
+            self.abandon_copy(call, candidate.name)
             raise
         except ResponseError as exc:
             conn.close()
--- a/wagtailfork/gateway/tests/test_crashing_requests.py
+++ b/wagtailfork/gateway/tests/test_crashing_requests.py
@@ -10,13 +10,18 @@
 
 from ...core.clock import now_s
 from ...http1.body import REPLAY_LIMIT_BYTES
+from ...routing.fingerprints import fingerprint_of
+from ...routing.quarantine import Quarantine
 from ...standin.documents import make_route
 from ...standin.scripted_backend import (
     ReceivedRequest,
+    Script,
     ScriptedBackend,
     Writer,
+    crash_after,
     crash_server,
     crash_within,
+    never_respond,
     serve_request,
 )
 from .. import trials
@@ -25,6 +30,9 @@
 SERVERS: Final = 6
 ROUNDS: Final = 4
 CRASHED: Final = 2  # before a request is refused
+LEFT_S: Final = 0.1  # after which a caller leaves
+STAY_S: Final = 1.0  # longer than a server runs
+CRASH_S: Final = 0.3  # after which a server crashes
 DETECTED_S: Final = 0.15  # after a crash, by the VM that sent the request
 HEAD: Final = (
     b'HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Signature: s.1\r\n'
@@ -32,6 +40,9 @@
 SHORT: Final = b'%b\r\nrrrr' % HEAD  # ends with its connection
 CHUNKED: Final = b'Transfer-Encoding: chunked\r\n\r\n4\r\nrrrr\r\n'
 LARGE: Final = bytes(REPLAY_LIMIT_BYTES + 1)
+PAY: Final = fingerprint_of(
+    '', HOST.encode(), b'POST', b'/pay/1', size=None, body=(b'x',)
+)
 GOOD: Final = 'good'
 BAD: Final = 'bad'
 
@@ -78,6 +89,30 @@
     return found
 
 
+async def call_and_leave(
+    rig: Rig, number: int, deadline_ms: float, leave_s: float
+) -> None:
+    """Send a request through the VMs in turn, and leave if it takes long."""
+    call = rig.call(
+        '/pay/1',
+        f'{BAD}{number}',
+        b'x',
+        node=number % len(rig.nodes),
+        deadline_ms=int(deadline_ms),
+    )
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(leave_s):
+            await call
+
+
+def strike_twice(rig: Rig) -> Quarantine:
+    """Put the request in quarantine; return the record of it."""
+    quarantine = rig.nodes[0].trials.quarantine
+    for name in ('gone', 'gone-too'):
+        quarantine.strike(PAY, name, now_s())
+    return quarantine
+
+
 def without_trials() -> Any:
     """Put off all trials beyond the end of a test."""
     return mock.patch.object(trials, 'TRIAL_DELAYS_S', (60.0,))
@@ -158,3 +193,100 @@
             backend.script = end_with_connection
         self.assertEqual(200, (await rig.call('/look/1')).status)
         await rig.until(lambda: not quarantine.is_suspect(LOOK))
+
+
+class TestAbandonedCopies(testtools.TestCase):
+    """A server that crashes when nobody awaits its answer is counted."""
+
+    def test_caller_that_leaves(self) -> None:
+        """Nobody noticed a crash after its caller had left."""
+        self._play(crash_after(CRASH_S), deadline_ms=1500, leave_s=LEFT_S)
+
+    def test_deadline_that_passes(self) -> None:
+        """Nor one after the caller had got its 504."""
+        self._play(crash_after(CRASH_S), deadline_ms=200)
+
+    def test_connection_that_is_lost(self) -> None:
+        """Nor one after a reset that the server survived at first."""
+        self._play(crash_after(CRASH_S, reset_first=True))
+
+    def _play(
+        self,
+        script: Script,
+        deadline_ms: int = 1500,
+        leave_s: float = STAY_S,
+    ) -> None:
+        async def play(rig: Rig) -> None:
+            await rig.start(backends=SERVERS, gateways=2)
+            for backend in rig.backends.values():
+                backend.script = script
+            for number in range(ROUNDS):
+                await call_and_leave(rig, number, deadline_ms, leave_s)
+                await asyncio.sleep(CRASH_S + DETECTED_S)
+            self.assertEqual(CRASHED, count_runs(rig, BAD))
+
+        with without_trials():
+            run_scenario(play)
+
+    def test_trial_whose_caller_leaves(self) -> None:
+        """Its crash is one of a trial, which puts off the next one."""
+        with mock.patch.object(trials, 'TRIAL_DELAYS_S', (0.05, 60.0)):
+            run_scenario(self._leave_trial)
+
+    async def _leave_trial(self, rig: Rig) -> None:
+        await rig.start(backends=SERVERS)
+        quarantine = strike_twice(rig)
+        for backend in rig.backends.values():
+            backend.script = crash_after(CRASH_S)
+        await asyncio.sleep(LEFT_S)
+        await call_and_leave(rig, 0, 1500, LEFT_S)
+        await rig.until(lambda: quarantine.failed_trials(PAY))
+        await asyncio.sleep(DETECTED_S)
+        await call_and_leave(rig, 1, 1500, LEFT_S)
+        self.assertEqual(1, count_runs(rig, BAD))
+
+    def test_trial_that_outlives_its_caller(self) -> None:
+        """What the server shows counts for the callers that wait for it."""
+        with mock.patch.object(trials, 'TRIAL_DELAYS_S', (0.05, 60.0)):
+            run_scenario(self._answer_left_trial)
+
+    async def _answer_left_trial(self, rig: Rig) -> None:
+        await rig.start()
+        quarantine = strike_twice(rig)
+        for backend in rig.backends.values():
+            backend.service_s = CRASH_S
+        await asyncio.sleep(LEFT_S)
+        await call_and_leave(rig, 0, 1500, LEFT_S)
+        await rig.until(lambda: not quarantine.is_suspect(PAY))
+
+    def test_server_that_leaves(self) -> None:
+        """Its planned end is no crash."""
+        run_scenario(self._leave_with_server)
+
+    async def _leave_with_server(self, rig: Rig) -> None:
+        await rig.start(backends=1)
+        server = rig.backends['b0']
+        server.script = never_respond
+        await call_and_leave(rig, 0, 1500, LEFT_S)
+        rig.register(server, state='draining')
+        detector = rig.nodes[0].crash_detector
+        await rig.until(lambda: rig.nodes[0].view.servers['b0'].draining)
+        self.assertTrue(detector.copies.has('b0'))
+        await server.crash()
+        await rig.until(lambda: not detector.copies.has('b0'))
+        self.assertFalse(rig.nodes[0].trials.quarantine.is_suspect(PAY))
+
+    def test_watch_ends(self) -> None:
+        """No connection and no task remain of a copy that did no harm."""
+        run_scenario(self._end_watch)
+
+    async def _end_watch(self, rig: Rig) -> None:
+        await rig.start(backends=1)
+        server = rig.backends['b0']
+        server.script = never_respond
+        await call_and_leave(rig, 0, 2 * 1000 * LEFT_S, LEFT_S)
+        detector = rig.nodes[0].crash_detector
+        await rig.until(lambda: detector._watches)
+        await rig.until(lambda: not detector._tasks)
+        self.assertFalse(detector._watches or detector.copies.has('b0'))
+        await rig.until(lambda: server.connections == server.closed)
--- a/wagtailfork/gateway/trials.py
+++ b/wagtailfork/gateway/trials.py
@@ -168,7 +168,12 @@
         return Admission(wait_s=wait_s or None, trial=not wait_s)
 
     def record_crash(
-        self, fingerprint: str, crash: Crash, *, trial: bool
+        self,
+        fingerprint: str,
+        crash: Crash,
+        *,
+        trial: bool,
+        why: str = 'connection_lost',
     ) -> None:
         """Record a strike of this VM and send it to all others.
 
@@ -184,6 +189,7 @@
             server=crash.server,
             started_ms=crash.started_ms,
             trial=trial,
+            why=why,
             crashed=len(self.quarantine.crashes(fingerprint)),
         )
         message = _strike(fingerprint, crash, trial=trial)
--- a/wagtailfork/http1/backend.py
+++ b/wagtailfork/http1/backend.py
@@ -12,6 +12,7 @@
 from .headers import WHITE_SPACE, Header, render_chunk
 from .responses import (
     BackendResponse,
+    ConnectionRefused,
     InvalidStatus,
     RequestNotSent,
     ResponseError,
@@ -64,6 +65,8 @@
         self._skipped_bytes = 0
         self._drained = asyncio.Event()
         self._drained.set()
+        # Called when the connection ends, unless its owner closes it.
+        self.on_lost: Callable[[], None] | None = None
 
     # Transport callbacks.
 
@@ -109,6 +112,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange in progress."""
         self._fail(f'connection lost: {exc!r}')
+        if self.on_lost is not None:
+            self.on_lost()
 
     def pause_writing(self) -> None:
         """Pause sending of the request body."""
@@ -135,6 +140,7 @@
     def close(self) -> None:
         """Abort the connection."""
         self._reusable = False
+        self.on_lost = None
         if self._transport is not None:
             self._transport.abort()
 
@@ -332,13 +338,18 @@
 
 
 async def connect(host: str, port: int, timeout_s: float) -> BackendConnection:
-    """Open a connection; raise ``RequestNotSent`` on error or timeout."""
+    """Open a connection; raise ``RequestNotSent`` on error or timeout.
+
+    Raise its subclass ``ConnectionRefused`` if nothing listens there.
+    """
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
             _, conn = await loop.create_connection(
                 BackendConnection, host, port
             )
+    except ConnectionRefusedError as exc:
+        raise ConnectionRefused(f'{host}:{port}: {exc!r}') from exc
     except (OSError, TimeoutError) as exc:
         raise RequestNotSent(f'{host}:{port}: {exc!r}') from exc
     return conn
--- a/wagtailfork/http1/pool.py
+++ b/wagtailfork/http1/pool.py
@@ -1,5 +1,6 @@
 """Pool of idle connections to backend servers."""
 
+import functools
 from collections.abc import Callable
 from typing import Final
 
@@ -24,6 +25,8 @@
 class ConnectionPool:
     """Keep idle connections by address; close them before servers do."""
 
+    # Called with the address of a server that ended a connection.
+    on_lost: Callable[[str], None] | None = None
     # How many idle connections to an address may be kept.
     max_idle: Callable[[str], int] = _keep_most
     opened_count: int = 0
@@ -53,6 +56,10 @@
             idle.pop().close()
         return None
 
+    def has_open(self, address: str) -> bool:
+        """Return whether an idle connection to an address is open."""
+        return any(conn.reusable for conn in self._idle.get(address, []))
+
     def has_idle(self, address: str) -> bool:
         """Return whether an idle connection is kept, maybe an expired one."""
         return bool(self._idle.get(address))
@@ -71,7 +78,10 @@
             return conn
         host, _, port = address.rpartition(':')
         self.opened_count += 1
-        return await connect(host, int(port), timeout_s)
+        conn = await connect(host, int(port), timeout_s)
+        if self.on_lost is not None:
+            conn.on_lost = functools.partial(self.on_lost, address)
+        return conn
 
     def release(self, address: str, conn: BackendConnection) -> float:
         """Keep a reusable connection for another request, else close it.
--- a/wagtailfork/http1/responses.py
+++ b/wagtailfork/http1/responses.py
@@ -10,6 +10,10 @@
     """Report that no byte of a request was sent, so it cannot have run."""
 
 
+class ConnectionRefused(RequestNotSent):
+    """Report that nothing listens at an address."""
+
+
 class ResponseError(Exception):
     """Report that a request was sent and no complete response arrived."""
 
--- a/wagtailfork/standin/scripted_backend.py
+++ b/wagtailfork/standin/scripted_backend.py
@@ -119,6 +119,22 @@
     return crash
 
 
+def crash_after(delay_s: float, *, reset_first: bool = False) -> Script:
+    """Return a script that ends the server later, whoever still waits."""
+
+    async def crash(
+        backend: 'ScriptedBackend', req: ReceivedRequest, writer: Writer
+    ) -> None:
+        backend.runs.append(req)
+        if reset_first:
+            writer.transport.abort()
+        await asyncio.sleep(delay_s)
+        await backend.crash()
+        writer.transport.abort()
+
+    return crash
+
+
 async def respond_twice(
     backend: 'ScriptedBackend',
     req: ReceivedRequest,
