Tell large uploads apart in the quarantine

Cause: the fingerprint had the body only if it was kept for replay, so the answers to other large uploads absolved the bad one.

Change: of a larger body the fingerprint covers the named length and the first 512 KB.

The new test failed before (4 runs, 2 expected).

--- a/wagtailfork/gateway/call.py
+++ b/wagtailfork/gateway/call.py
@@ -93,13 +93,19 @@
 
 
 def identify(req: CallerRequest, customer: str) -> str:
-    """Return the fingerprint of a request whose body is buffered."""
+    """Return the fingerprint of a request whose body is buffered.
+
+    Of a body that is too large for replay it covers the length, if that is
+    named, and the first part.
+    """
+    named = req.find(b'content-length')
     host = req.find(b'host') or b''
     return fingerprint_of(
         customer,
         host.partition(b':')[0].lower(),
         req.method,
         req.target,
-        size=None,
-        body=(req.body.payload(),) if req.body.kept else (),
+        # A small body is whole, and may come with a length or in chunks.
+        size=None if req.body.kept else named,
+        body=req.body.start(),
     )
--- a/wagtailfork/gateway/tests/test_crashing_requests.py
+++ b/wagtailfork/gateway/tests/test_crashing_requests.py
@@ -40,6 +40,7 @@
 SHORT: Final = b'%b\r\nrrrr' % HEAD  # ends with its connection
 CHUNKED: Final = b'Transfer-Encoding: chunked\r\n\r\n4\r\nrrrr\r\n'
 LARGE: Final = bytes(REPLAY_LIMIT_BYTES + 1)
+BAD_UPLOAD: Final = b'x' * len(LARGE)
 PAY: Final = fingerprint_of(
     '', HOST.encode(), b'POST', b'/pay/1', size=None, body=(b'x',)
 )
@@ -66,6 +67,14 @@
     await (crash_server if bad else serve_request)(backend, req, writer)
 
 
+async def crash_for_bad_upload(
+    backend: ScriptedBackend, req: ReceivedRequest, writer: Writer
+) -> None:
+    """Crash at one of two uploads of the same length."""
+    bad = req.body == BAD_UPLOAD
+    await (crash_server if bad else serve_request)(backend, req, writer)
+
+
 async def end_with_connection(
     backend: ScriptedBackend, req: ReceivedRequest, writer: Writer
 ) -> None:
@@ -146,6 +155,25 @@
             self.assertEqual(200, good.status)
         self.assertEqual(CRASHED, count_runs(rig, BAD))
 
+    def test_answer_to_another_large_upload(self) -> None:
+        """It cleared one above the size that is kept for replay."""
+        with without_trials():
+            run_scenario(self._uploads)
+
+    async def _uploads(self, rig: Rig) -> None:
+        await rig.start(backends=SERVERS)
+        route = make_route(pathPrefix='/up/', type='upload')
+        rig.store.put(CONFIG_TOPIC, 'config', make_config(2, up=route))
+        await rig.until(lambda: rig.nodes[0].view.version == 2)
+        for backend in rig.backends.values():
+            backend.script = crash_for_bad_upload
+        for number in range(ROUNDS):
+            await rig.call('/up/1', f'{BAD}{number}', BAD_UPLOAD)
+            await asyncio.sleep(DETECTED_S)
+            good = await rig.call('/up/1', f'{GOOD}{number}', LARGE)
+            self.assertEqual(200, good.status)
+        self.assertEqual(CRASHED, count_runs(rig, BAD))
+
 
 class TestCutAnswers(testtools.TestCase):
     """A server that crashes within its answer is counted."""
--- a/wagtailfork/http1/body.py
+++ b/wagtailfork/http1/body.py
@@ -1,7 +1,7 @@
 """Buffered message bodies, streamed between two connections."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from typing import Final
 
 import attrs
@@ -90,6 +90,21 @@
         """Return all bytes of a complete, replayable body."""
         return b''.join(self._pieces)
 
+    def start(self) -> Iterator[bytes]:
+        """Yield the first bytes, as many as are kept for replay, unread.
+
+        >>> body = Body(replay_limit_bytes=3)
+        >>> body.feed(b'abcd')
+        >>> list(body.start())
+        [b'abc']
+        """
+        left = self.replay_limit_bytes
+        for piece in self._pieces:
+            yield piece[:left]
+            left -= len(piece)
+            if left <= 0:
+                return
+
     async def wait_buffered(self, silence_s: float | None = None) -> None:
         """Wait until the body is complete, broken or too large for replay.
 
