Pass over an arbiter that does not answer

Callers would see: a sound path that stood beside a crash is refused for as long as the VM in charge of its trials does not answer, as in an upgrade, when it is of a build that does not know the digests, or when it is cut off and not yet known to be down.

Cause: a question without an answer was put to the same VM again, each second.

Change: after two questions without an answer a VM asks the next one by hash for 10 s, and tells all others of an absolution itself meanwhile.

Measured: test_arbiter_that_does_not_answer failed before (none of the path served, all expected), in virtual time.

--- a/wagtailfork/gateway/tests/test_trials.py
+++ b/wagtailfork/gateway/tests/test_trials.py
@@ -97,6 +97,7 @@
     servers: list[Server]
     vms: dict[str, Trials] = attrs.field(factory=dict)
     cut: set[str] = attrs.field(factory=set)  # VMs without the others
+    deaf: set[str] = attrs.field(factory=set)  # VMs that understand nothing
     statuses: dict[str, Counter[str]] = attrs.field(factory=dict)
     arrivals: list[float] = attrs.field(factory=list)  # of crashing requests
     crashes: list[float] = attrs.field(factory=list)  # by them
@@ -129,6 +130,8 @@
             loop.call_later(DELAY_S, self._deliver, sender, address, raw)
 
     def _deliver(self, sender: str, address: str, raw: bytes) -> None:
+        if address in self.deaf:
+            return
         if address in self.reachable(sender):
             self.vms[address].receive(decode(raw))
 
@@ -505,6 +508,17 @@
         await scene.play(300, crashing=3)
         self.assertTrue(scene.later_arrivals() <= ALLOWED_LATER)
 
+    @played
+    async def test_arbiter_that_does_not_answer(self, scene: Scene) -> None:
+        """A VM of an earlier build kept a sound path refused until it ended."""
+        arbiter = next(iter(scene.vms.values()))._arbiter(POPULAR)
+        scene.deaf.add(arbiter)
+        others = sorted(scene.vms.keys() - {arbiter})
+        scene.crash_in(1, scene.servers)
+        await scene.play(1 + DOWN_S + SERVED_AGAIN_S, popular=180, vms=others)
+        seen = await scene.play(5, popular=180, vms=others)
+        self.assertEqual(1, _served(seen))
+
     @played
     async def test_trial_that_is_not_sent(self, scene: Scene) -> None:
         """While no server is up, no trial is lost and few are asked for."""
--- a/wagtailfork/gateway/trials.py
+++ b/wagtailfork/gateway/trials.py
@@ -7,7 +7,8 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Set
 from functools import singledispatchmethod
 from typing import Final
 
@@ -40,6 +41,10 @@
 # A trial whose outcome is not heard by then, as its VM ended, proved nothing.
 OUTCOME_S: Final = 5.0
 ASK_TIMEOUT_S: Final = 0.25  # four round trips between regions
+MAX_UNANSWERED: Final = 2  # questions, before the next arbiter is asked
+SILENT_S: Final = (
+    10.0  # for which an arbiter that does not answer is passed over
+)
 STRIKE_RESEND_DELAYS_S: Final = (0.3, 1.0)
 MAX_STRIKES_SENT: Final = 32  # to a new VM; the latest ones
 _HEX: Final = 16
@@ -179,6 +184,8 @@
     schedule: TrialSchedule = attrs.field(init=False)
     _next_ask_s: dict[str, float] = attrs.field(factory=dict)
     _waiters: dict[str, 'asyncio.Future[float]'] = attrs.field(factory=dict)
+    _unanswered: Counter[str] = attrs.field(factory=Counter)  # by arbiter
+    _silent_until_s: dict[str, float] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         """Create the schedule."""
@@ -337,7 +344,9 @@
         )
         message = Absolution(fingerprint, crashes)
         arbiter = self._arbiter(fingerprint)
-        if arbiter == self.membership.me.address:
+        is_arbiter = arbiter == self.membership.me.address
+        if is_arbiter or (self._silent() and not told):
+            # VMs that pass over a silent arbiter differ in whom they ask.
             self.send(message, self._others())
         elif not told:
             self.send(message, [arbiter])
@@ -363,9 +372,13 @@
         self.send(TrialRequest(me, fingerprint, crashes), [arbiter])
         try:
             async with asyncio.timeout(ASK_TIMEOUT_S):
-                return await waiter
+                wait_s = await waiter
         except TimeoutError:
+            self._record_unanswered(arbiter)
             return PENDING_S
+        else:
+            self._unanswered.pop(arbiter, None)
+            return wait_s
         finally:
             self._waiters.pop(fingerprint, None)
 
@@ -377,7 +390,26 @@
     def _arbiter(self, fingerprint: str) -> str:
         """Return the VM that decides on the trials of a request."""
         me = self.membership.me.address
-        return rendezvous(fingerprint, [me, *self._others()]) or me
+        silent = self._silent()
+        others = [one for one in self._others() if one not in silent]
+        return rendezvous(fingerprint, [me, *others]) or me
+
+    def _silent(self) -> Set[str]:
+        """Return the VMs that are passed over as arbiters."""
+        now = now_s()
+        for address, until_s in tuple(self._silent_until_s.items()):
+            if until_s <= now:
+                self._silent_until_s.pop(address)
+        return self._silent_until_s.keys()
+
+    def _record_unanswered(self, arbiter: str) -> None:
+        """Pass over an arbiter that is of an earlier build, or cut off."""
+        self._unanswered[arbiter] += 1
+        if self._unanswered[arbiter] < MAX_UNANSWERED:
+            return
+        self._unanswered.pop(arbiter)
+        self._silent_until_s[arbiter] = now_s() + SILENT_S
+        self.log.emit('arbiter_silent', important=True, arbiter=arbiter)
 
     def _others(self) -> list[str]:
         return [one.address for one in self.membership.alive(now_s())]
