Vary the moment of the soak's crashing path

Change: in one play all crashes come before the answers, within them, or after the callers have left.

--- a/wagtailfork/soak/crash_play.py
+++ b/wagtailfork/soak/crash_play.py
@@ -19,6 +19,11 @@
 POPULAR_PER_S: Final = 60.0
 CRASHING_PER_S: Final = 3.0
 DEADLINE_S: Final = 1.0
+# When the crashing path crashes its servers, the same in all of a play.
+BEFORE: Final = 'before'  # the answer
+WITHIN: Final = 'within'  # the answer
+LEFT: Final = 'left'  # after its callers have left
+LEAVE_S: Final = 0.03  # half of the time for which a server runs on average
 MAX_DOWN_S: Final = 4.0
 MIN_DOWN_S: Final = 2.0
 STABLE_S: Final = 4.0  # after which changes are known at all gateways
@@ -48,6 +53,13 @@
     _crashing: list[RequestRecord] = attrs.field(factory=list)
     _tasks: set['asyncio.Task[None]'] = attrs.field(factory=set)
     _domain_lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+    _moment: str = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Draw the moment of the crashes."""
+        self._moment = self.rng.choice((BEFORE, WITHIN, LEFT))
+        for server in self.servers:
+            server.crashes_within = self._moment == WITHIN
 
     async def run(self, until_s: float) -> None:
         """Send requests for both paths until a time."""
@@ -100,6 +112,7 @@
     ) -> list[RequestRecord]:
         """Return runs of the crashing path beyond those that are allowed."""
         self.record.plays['crashes_by_request'] = len(self.crashed_s)
+        self.record.plays[f'crash_{self._moment}'] = len(self.crashed_s)
         if len(self.crashed_s) < _THIRD:
             return []
         since_s = self.crashed_s[_THIRD - 1] + STABLE_S
@@ -144,7 +157,8 @@
         )
         sent.append(seen)
         self.record.requests[seen.request_id] = seen
-        await ask_once(conn, seen, path)
+        leaves = path == CRASHING_PATH and self._moment == LEFT
+        await ask_once(conn, seen, path, LEAVE_S if leaves else None)
 
     async def _restart(self, server: SoakServer) -> None:
         if not server.up:
--- a/wagtailfork/soak/one_call.py
+++ b/wagtailfork/soak/one_call.py
@@ -12,15 +12,24 @@
 _MS: Final = 1000
 
 
-async def ask_once(conn: Connection, seen: RequestRecord, path: str) -> None:
-    """Ask for a path, record the answer and close the connection."""
+async def ask_once(
+    conn: Connection,
+    seen: RequestRecord,
+    path: str,
+    leave_s: float | None = None,
+) -> None:
+    """Ask for a path, record the answer and close the connection.
+
+    The caller leaves after ``leave_s``, or twice its deadline.
+    """
+    limit_s = 2 * seen.deadline_s if leave_s is None else leave_s
     conn.writer.write(
         f'GET {path} HTTP/1.1\r\nHost: {HOST}\r\n'
         f'Request-Id: {seen.request_id}\r\n'
         f'Request-Deadline-Ms: {round(seen.deadline_s * _MS)}\r\n\r\n'.encode()
     )
     try:
-        async with asyncio.timeout(2 * seen.deadline_s):
+        async with asyncio.timeout(limit_s):
             head = await read_head(conn.reader)
             body = await read_body(conn.reader, head)
             seen.answered_s = now_s()
--- a/wagtailfork/soak/servers.py
+++ b/wagtailfork/soak/servers.py
@@ -67,6 +67,13 @@
             seen.bodies.add(body)
         return body
 
+    def start_of_answer(self) -> bytes:
+        """Return the head and a part of the body of a success."""
+        return (
+            f'HTTP/1.1 200 OK\r\nRequest-Id: {self.request_id}\r\n'
+            'Server-Signature: s.1\r\nContent-Length: 400\r\n\r\nrrrr'.encode()
+        )
+
     def mark_endless(self) -> None:
         seen = self.server.record.requests.get(self.request_id)
         if seen is not None:
@@ -96,6 +103,7 @@
     waiting: int = 0
     up: bool = False
     on_crashing_path: 'Callable[[SoakServer], None] | None' = None
+    crashes_within: bool = False  # its answer, on the crashing path
     _slots: asyncio.Semaphore = attrs.field(
         factory=lambda: asyncio.Semaphore(SLOTS)
     )
@@ -253,6 +261,8 @@
 
     async def _play(self, reply: _Reply) -> None:
         if reply.head.target == CRASHING_PATH and self.on_crashing_path:
+            if self.crashes_within:
+                reply.writer.write(reply.start_of_answer())
             await reply.run()
             self.on_crashing_path(self)
             return
