Tighten what counts as a crash beside a cut way and an ended trial

- A connection that times out, rather than being refused, struck all abandoned copies of its server.
The way to it may be cut, so only the request whose connection was lost is struck, as before.
- Each answer that ends with its connection cost another connection.
One of the pool that is still open shows as well that the server lives.
- After half of the VMs were replaced at new addresses, the rest counted as apart from them for 15 minutes, and a path whose trial failed waited an hour.
Only VMs that were up within two minutes count.
- A trial whose task ends with the process raised in a callback.

--- a/wagtailfork/fleet/members.py
+++ b/wagtailfork/fleet/members.py
@@ -227,6 +227,13 @@
         """Count the VMs of the table, up or down, including this one."""
         return 1 + len(self._table)
 
+    def recent_count(self, now: float, within_s: float) -> int:
+        """Count the VMs that are up or were so long ago, with this one."""
+        return 1 + sum(
+            not one.member.down or now - one.updated_at_s < within_s
+            for one in self._table.values()
+        )
+
     def region_count(self, now: float) -> int:
         """Count the live VMs of this region, including this one."""
         return 1 + sum(one.region == self.me.region for one in self.alive(now))
--- a/wagtailfork/gateway/crash_detector.py
+++ b/wagtailfork/gateway/crash_detector.py
@@ -125,17 +125,24 @@
         self, call: Call, entry: BackendServer, *, answered: bool
     ) -> None:
         await asyncio.sleep(CHECK_DELAY_S)
+        if answered and self.pool.has_open(entry.address):
+            # The end of the process would have ended this connection too.
+            self._record_answer(call)
+            return
+        copy = AbandonedCopy(call.fingerprint, 0, call.trial)
         host, _, port = entry.address.rpartition(':')
         try:
             conn = await connect(host, int(port), CONNECT_TIMEOUT_S)
-        except RequestNotSent as exc:
-            copy = AbandonedCopy(call.fingerprint, 0, call.trial)
-            if call.trial and not isinstance(exc, ConnectionRefused):
-                # Maybe the way to the server was cut.
+        except ConnectionRefused:
+            self._strike(copy, entry, why='connection_lost')
+            self._record_ended(entry)
+            return
+        except RequestNotSent:
+            # Maybe the way to the server was cut, so a trial proves nothing.
+            if call.trial:
                 self.give_back(call.fingerprint, ran=True)
             else:
                 self._strike(copy, entry, why='connection_lost')
-            self._record_ended(entry)
             return
         conn.close()
         if answered:
--- a/wagtailfork/gateway/forwarder.py
+++ b/wagtailfork/gateway/forwarder.py
@@ -262,6 +262,8 @@
         self, call: Call, task: 'asyncio.Task[SendResult]'
     ) -> None:
         self._left_trials.discard(task)
+        if task.cancelled():
+            return
         result = task.result()
         self.crashes.record_end(call, result)
         result.discard()
--- a/wagtailfork/gateway/tests/test_trials.py
+++ b/wagtailfork/gateway/tests/test_trials.py
@@ -60,7 +60,7 @@
         found = self.scene.reachable(self.me.address)
         return [Member(address) for address in found]
 
-    def known_count(self) -> int:
+    def recent_count(self, _now: float, _within_s: float) -> int:
         """Count the VMs, whether they are reachable or not."""
         return len(self.scene.vms)
 
--- a/wagtailfork/gateway/trials.py
+++ b/wagtailfork/gateway/trials.py
@@ -35,6 +35,7 @@
 TRIAL_DELAYS_S: Final = (1.0, 5.0, 60.0, 3600.0)
 # At VMs that are apart from half of the others, which have their own trials.
 SPLIT_TRIAL_DELAYS_S: Final = (1.0, 3600.0)
+SPLIT_MEMORY_S: Final = 120.0  # for which VMs that are down count as apart
 QUARANTINE_S: Final = 7200.0  # longer than any delay
 MAX_DOUBLINGS: Final = 6  # of a delay, for trials that proved nothing
 PENDING_S: Final = 1.0  # after which the outcome of a trial is asked for again
@@ -384,7 +385,8 @@
 
     def _decide(self, fingerprint: str, now: float) -> float:
         seen = 1 + len(self._others())
-        split = 2 * seen <= self.membership.known_count()
+        known = self.membership.recent_count(now, SPLIT_MEMORY_S)
+        split = 2 * seen <= known
         return self.schedule.decide(fingerprint, now, split=split)
 
     def _arbiter(self, fingerprint: str) -> str:
