Connect to a server that may be down in one place

The crash detector, the watch and the witnesses each told a refused connection from one that takes too long. reach() does it for all three.

--- a/wagtailfork/gateway/crash_detector.py
+++ b/wagtailfork/gateway/crash_detector.py
@@ -8,15 +8,14 @@
 
 from ..core.clock import now_s
 from ..core.event_log import EventLog
-from ..http1.backend import connect
 from ..http1.pool import ConnectionPool
-from ..http1.responses import ConnectionRefused, RequestNotSent
+from ..http1.responses import ConnectionRefused
 from ..routing.abandoned_copies import AbandonedCopies, AbandonedCopy
 from ..routing.quarantine import Crash
 from .backend_registry import BackendRegistry
 from .call import Call, SendResult
 from .model import BackendServer
-from .server_watch import CHECK_DELAY_S, CONNECT_TIMEOUT_S, ServerWatch
+from .server_watch import CHECK_DELAY_S, ServerWatch, reach
 from .trials import Trials
 from .witnesses import Witnesses, choose_witnesses
 
@@ -130,14 +129,13 @@
             self._record_answer(call)
             return
         copy = AbandonedCopy(call.fingerprint, 0, call.trial)
-        host, _, port = entry.address.rpartition(':')
         try:
-            conn = await connect(host, int(port), CONNECT_TIMEOUT_S)
+            conn = await reach(entry.address)
         except ConnectionRefused:
             self._strike(copy, entry, why='connection_lost')
             self._record_ended(entry)
             return
-        except RequestNotSent:
+        if conn is None:
             # Maybe the way to the server was cut, so a trial proves nothing.
             if call.trial:
                 self.give_back(call.fingerprint, ran=True)
--- a/wagtailfork/gateway/server_watch.py
+++ b/wagtailfork/gateway/server_watch.py
@@ -15,6 +15,23 @@
 INTERVAL_S: Final = 0.5  # between two checks after losses
 
 
+async def reach(
+    address: str, timeout_s: float = CONNECT_TIMEOUT_S
+) -> BackendConnection | None:
+    """Connect to a server; return None if that takes too long.
+
+    Its queue may be full then, or the way to it be cut. Raise
+    ``ConnectionRefused`` if nothing listens there.
+    """
+    host, _, port = address.rpartition(':')
+    try:
+        return await connect(host, int(port), timeout_s)
+    except ConnectionRefused:
+        raise
+    except RequestNotSent:
+        return None
+
+
 @attrs.define(eq=False)
 class ServerWatch:
     """Tell whether a server has ended.
@@ -63,14 +80,10 @@
 
     async def _is_refused(self) -> bool:
         self.close()
-        host, _, port = self.address.rpartition(':')
         try:
-            conn = await connect(host, int(port), CONNECT_TIMEOUT_S)
+            self._conn = await reach(self.address)
         except ConnectionRefused:
             return True
-        except RequestNotSent:
-            # The way to the server may be cut, or its queue be full.
-            return False
-        conn.on_lost = self.record_lost
-        self._conn = conn
+        if self._conn is not None:
+            self._conn.on_lost = self.record_lost
         return False
--- a/wagtailfork/gateway/witnesses.py
+++ b/wagtailfork/gateway/witnesses.py
@@ -13,11 +13,11 @@
 import attrs
 
 from ..core.clock import now_s
-from ..http1.backend import BackendConnection, connect
-from ..http1.responses import ConnectionRefused, RequestNotSent
+from ..http1.backend import BackendConnection
+from ..http1.responses import ConnectionRefused
 from .backend_registry import BackendRegistry
 from .model import BackendServer
-from .server_watch import CHECK_DELAY_S, CONNECT_TIMEOUT_S
+from .server_watch import CHECK_DELAY_S, reach
 
 PER_DOMAIN: Final = 2  # beside the server of the trial, which may be one
 MAX_WITNESSES: Final = 12
@@ -62,10 +62,11 @@
             await asyncio.sleep(CHECK_DELAY_S)
 
     async def _open(self, address: str) -> None:
-        host, _, port = address.rpartition(':')
         try:
-            conn = await connect(host, int(port), OPEN_TIMEOUT_S)
-        except RequestNotSent:
+            conn = await reach(address, OPEN_TIMEOUT_S)
+        except ConnectionRefused:
+            return
+        if conn is None:
             return
         conn.on_lost = lambda: self._record_lost(address)
         self._conns[address] = conn
@@ -98,12 +99,10 @@
 
 
 async def _is_refused(address: str) -> bool:
-    host, _, port = address.rpartition(':')
     try:
-        conn = await connect(host, int(port), CONNECT_TIMEOUT_S)
+        conn = await reach(address)
     except ConnectionRefused:
         return True
-    except RequestNotSent:
-        return False
-    conn.close()
+    if conn is not None:
+        conn.close()
     return False
